Feature: thin whole path from an operator's change to a caller's answer

Cause: nothing stood yet. A request has to go from a caller through daemons to a backend server under a configuration that came from the platform.

Ruled out: the HTTP client of cxxtools on the call path. Tried against a raw server, it sent a request twice when a kept connection was closed after the request (2 seen for 1 asked) and took a chunked answer that was cut for a whole one. The client is Boost.Beast over a socket with deadlines instead.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,5 @@
+/** @file main.cpp placeholder */
+int main()
+{
+    return 1;
+}
--- /dev/null
+++ b/src/base/hash_func.cpp
@@ -0,0 +1,27 @@
+/** @file hash_func.cpp Hashes by xxhash. */
+#include "base/hash_func.h"
+
+#include <xxhash.h>
+
+#include <cstdio>
+
+namespace cornelwell {
+
+std::uint64_t hash64(std::string_view text, std::uint64_t seed)
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+std::string hex64(std::uint64_t value)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+    return text;
+}
+
+std::uint64_t rendezvousWeight(std::string_view node, std::string_view key)
+{
+    return hash64(node, hash64(key));
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,77 @@
+/** @file http_client.h HTTP client that sends each request at most once and takes only whole
+ * answers. */
+#pragma once
+
+#include "base/clock.h"
+#include "base/identifier_type.h"
+#include "http/http_type.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace cornelwell {
+
+class DeadlineStream;
+
+/** Bounds of one exchange. */
+struct HttpBounds
+{
+    TimePoint deadline = NEVER; ///< Monotonic time at which the exchange ends.
+    int callerSocket = -1;      ///< Socket whose closing cancels the exchange; -1 for none.
+    std::size_t bodyBytesMax = 1024 * 1024; ///< Longest answer body.
+    Duration connectMax = {1000};           ///< Longest wait for a connection.
+};
+
+/** Kept connections to servers, shared by the threads of a process. */
+class HttpClient
+{
+public:
+    /**
+     * @param clock For the age of kept connections.
+     * @param idlePerServer Connections kept to one server while unused.
+     */
+    HttpClient(const Clock &clock, std::size_t idlePerServer);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /**
+     * Sends a request once. It is never sent again, on this or another connection.
+     * @param server Where to.
+     * @param request What to send.
+     * @param bounds When to give up.
+     * @return the whole answer, or how far it got.
+     */
+    HttpOutcome execute(const Endpoint &server, const HttpRequest &request,
+                        const HttpBounds &bounds);
+
+    /** Opens connections ahead of use. @return connections open and unused. */
+    std::size_t openAhead(const Endpoint &server, std::size_t count);
+
+    /** Closes the unused connections to a server. */
+    void forget(const Endpoint &server);
+
+private:
+    using StreamPtr = std::unique_ptr<DeadlineStream>;
+
+    /** An unused connection and when it was last used. */
+    struct IdleStream
+    {
+        StreamPtr stream;
+        TimePoint since;
+    };
+
+    StreamPtr takeIdle(const Endpoint &server);
+    void keep(const Endpoint &server, StreamPtr stream);
+    StreamPtr open(const Endpoint &server, const HttpBounds &bounds, HttpOutcome &outcome);
+
+    const Clock &m_clock;
+    const std::size_t m_idlePerServer;
+    std::mutex m_mutex;
+    std::map<Endpoint, std::deque<IdleStream>> m_idle;
+};
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/metrics/metrics.h
@@ -0,0 +1,48 @@
+/** @file metrics.h Counters and distributions of a process, in the Prometheus text form. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace cornelwell {
+
+/** Metrics by name and label; safe for threads. */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    /**
+     * Adds to a counter.
+     * @param name Metric name with its unit, such as `calls_total`.
+     * @param labels Label set in Prometheus form, such as `code="0"`; may be empty.
+     * @param amount What to add.
+     */
+    void count(const std::string &name, const std::string &labels = {}, double amount = 1);
+
+    /** Sets a gauge. */
+    void set(const std::string &name, const std::string &labels, double value);
+
+    /** Adds a sample to a distribution, of which count, sum and quantiles are shown. */
+    void sample(const std::string &name, const std::string &labels, double value);
+
+    /** @return all metrics as text. */
+    std::string text() const;
+
+private:
+    struct Summary;
+    using Key = std::pair<std::string, std::string>;
+
+    mutable std::mutex m_mutex;
+    std::map<Key, double> m_counters;
+    std::map<Key, double> m_gauges;
+    std::map<Key, std::unique_ptr<Summary>> m_summaries;
+};
+
+} // namespace cornelwell
