--- /dev/null
+++ b/src/http/tests/http_test.cpp
@@ -0,0 +1,183 @@
+/** @file http_test.cpp The HTTP client against servers that misbehave, and the server's bounds. */
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+using namespace cornelwell;
+
+namespace {
+
+/** A raw server on a port that the kernel chose; each connection is handled by a function. */
+class RawServer
+{
+public:
+    explicit RawServer(std::function<void(int)> serve)
+    {
+        m_socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        REQUIRE(::bind(m_socket, reinterpret_cast<sockaddr *>(&address), size) == 0);
+        REQUIRE(::listen(m_socket, 16) == 0);
+        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
+        endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+        m_thread = std::thread([this, serve = std::move(serve)] {
+            int connection = -1;
+            while ((connection = ::accept(m_socket, nullptr, nullptr)) >= 0) {
+                serve(connection);
+                ::close(connection);
+            }
+        });
+    }
+
+    ~RawServer()
+    {
+        ::shutdown(m_socket, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_socket);
+    }
+
+    Endpoint endpoint;
+
+private:
+    int m_socket = -1;
+    std::thread m_thread;
+};
+
+bool readRequest(int connection)
+{
+    char buffer[4096];
+    return ::recv(connection, buffer, sizeof buffer, 0) > 0;
+}
+
+void writeText(int connection, const std::string &text)
+{
+    (void)::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+HttpOutcome ask(HttpClient &client, const Endpoint &server, Duration timeout = seconds(5), int callerSocket = -1)
+{
+    const SystemClock clock;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/x";
+    request.body = "hello";
+    HttpBounds bounds;
+    bounds.deadline = clock.now() + timeout;
+    bounds.callerSocket = callerSocket;
+    return client.execute(server, request, bounds);
+}
+
+/** Answers with what it was asked. */
+class EchoHandler final : public HttpHandler
+{
+public:
+    HttpResponse handle(const HttpRequest &request, int) override
+    {
+        HttpResponse response;
+        response.body = request.method + " " + request.path + " " + request.query + " " + request.body;
+        response.status = request.bodyTooLarge ? 413 : 200;
+        return response;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request on a kept connection that breaks is not sent again", "[http][threaded]")
+{
+    std::atomic<int> requests{0};
+    RawServer server([&](int connection) {
+        readRequest(connection);
+        requests++;
+        writeText(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        if (readRequest(connection))
+            requests++;
+    });
+    const SystemClock clock;
+    HttpClient client(clock, 4);
+    CHECK(ask(client, server.endpoint).response.body == "ok");
+    CHECK(ask(client, server.endpoint).failure == HttpFailure::Broken);
+    CHECK(requests == 2);
+}
+
+TEST_CASE("an answer that was cut never looks whole", "[http][threaded]")
+{
+    const std::string cuts[] = {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort",
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+                                "HTTP/1.1 200 OK\r\n\r\nno length", "HTTP/1.1 200 OK\r\nContent-Le", "garbage\r\n\r\n",
+                                ""};
+    for (const std::string &cut : cuts) {
+        INFO(cut);
+        RawServer server([&](int connection) {
+            readRequest(connection);
+            writeText(connection, cut);
+        });
+        const SystemClock clock;
+        HttpClient client(clock, 4);
+        const HttpOutcome outcome = ask(client, server.endpoint);
+        CHECK(outcome.failure != HttpFailure::None);
+        CHECK(outcome.failure != HttpFailure::NotSent);
+    }
+}
+
+TEST_CASE("a connection that is refused is known not to have sent", "[http][threaded]")
+{
+    Endpoint closed;
+    {
+        RawServer server([](int) {});
+        closed = server.endpoint;
+    }
+    const SystemClock clock;
+    HttpClient client(clock, 4);
+    CHECK(ask(client, closed).failure == HttpFailure::NotSent);
+}
+
+TEST_CASE("a silent server ends at the deadline, and a caller that leaves ends the wait", "[http][threaded]")
+{
+    RawServer server([](int connection) {
+        while (readRequest(connection)) {
+        }
+    });
+    const SystemClock clock;
+    HttpClient client(clock, 4);
+    CHECK(ask(client, server.endpoint, milliseconds(50)).failure == HttpFailure::TimedOut);
+    int ends[2];
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+    ::close(ends[1]);
+    CHECK(ask(client, server.endpoint, seconds(30), ends[0]).failure == HttpFailure::Cancelled);
+    ::close(ends[0]);
+}
+
+TEST_CASE("the server hands over requests whole and bounds their bodies", "[http][threaded]")
+{
+    EchoHandler echo;
+    HttpServerOptions options;
+    options.bodyBytesMax = 100;
+    const Endpoint endpoint{"127.9.9.1", 18080};
+    auto server = HttpServer::start(endpoint, echo, options);
+    REQUIRE(server.has_value());
+    const SystemClock clock;
+    HttpClient client(clock, 4);
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/a/b";
+    request.query = "c=d";
+    request.body = "body";
+    HttpBounds bounds;
+    bounds.deadline = clock.now() + seconds(10);
+    CHECK(client.execute(endpoint, request, bounds).response.body == "PUT /a/b c=d body");
+    request.body = std::string(1000, 'x');
+    CHECK(client.execute(endpoint, request, bounds).response.status == 413);
+    CHECK(HttpServer::start(endpoint, echo, options).error().code == ResultCode::ListenFailed);
+}
