--- /dev/null
+++ b/bench/bench_internal.h
@@ -0,0 +1,10 @@
+/** @file bench_internal.h The commands of the load and experiment tool. */
+#pragma once
+
+namespace cornelwell {
+
+int runLoadCommand(int argc, char **argv);         ///< `load`
+int runDistributionCommand(int argc, char **argv); ///< `distribution`
+int runCallsCommand(int argc, char **argv);        ///< `calls`
+
+} // namespace cornelwell
--- /dev/null
+++ b/bench/calls_command.cpp
@@ -0,0 +1,11 @@
+/** @file calls_command.cpp `calls`: the call path under load and faults. */
+#include "bench_internal.h"
+
+namespace cornelwell {
+
+int runCallsCommand(int, char **)
+{
+    return 2;
+}
+
+} // namespace cornelwell
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -2,6 +2,7 @@
 #include "control/control_node.h"
 
 #include "base/endpoint_func.h"
+#include "base/hash_func.h"
 
 #include <algorithm>
 
@@ -62,7 +63,8 @@
     {
         const std::string subject = "version " + std::to_string(apply.configuration->revision());
         const EventKind kind = apply.whole ? EventKind::SnapshotTaken : EventKind::VersionApplied;
-        actions.push_back(RecordEvent{kind, apply.cause, subject, {}, ResultCode::Ok});
+        actions.push_back(
+            RecordEvent{kind, apply.cause, subject, hex64(apply.configuration->digest()), ResultCode::Ok});
         actions.push_back(std::move(apply));
     }
     void operator()(ReportRejected &report) const
@@ -171,7 +173,7 @@
     m_links[id] = link;
     actions.push_back(
         SendMessage{id, HelloMessage{MESSAGE_FORMAT_MIN, MESSAGE_FORMAT_MAX, m_membership.self(),
-                                     m_distribution.current()->revision()}});
+                                     m_distribution.heldRevision()}});
     return actions;
 }
 
@@ -410,7 +412,7 @@
             continue;
         link.nextHeartbeat = now + m_options.heartbeat;
         actions.push_back(
-            SendMessage{item.first, HeartbeatMessage{m_distribution.current()->revision(),
+            SendMessage{item.first, HeartbeatMessage{m_distribution.heldRevision(),
                                                      m_membership.digest()}});
     }
     for (const LinkId id : silent) {
--- a/src/control/tests/control_schedule_test.cpp
+++ b/src/control/tests/control_schedule_test.cpp
@@ -88,6 +88,7 @@
     fleet.run(seconds(60));
     CHECK(fleet.leastRevision() == newest);
     CHECK(fleet.tablesAgree());
+    CHECK(fleet.revertsOverRestart == 0);
     for (std::size_t i = 0; i < DAEMONS; i++)
         CHECK(fleet.node(i).membership().members().size() == DAEMONS);
 }
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -345,6 +345,12 @@
     void countPlatformCall(const char *kind)
     {
         m_parts.metrics.count("platform_calls_total", std::string("kind=\"") + kind + "\"");
+        const HttpTraffic calls = m_parts.store.traffic();
+        const HttpTraffic watches = m_parts.watchStore.traffic();
+        m_parts.metrics.set("platform_wire_bytes", "direction=\"sent\"",
+                            static_cast<double>(calls.bytesSent + watches.bytesSent));
+        m_parts.metrics.set("platform_wire_bytes", "direction=\"received\"",
+                            static_cast<double>(calls.bytesReceived + watches.bytesReceived));
     }
 
     ControlStatus currentStatus() const
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -5,7 +5,7 @@
 #include "base/clock.h"
 #include "control/control_node.h"
 #include "metrics/metrics.h"
-#include "platform/object_store.h"
+#include "platform/http_object_store.h"
 #include "proxy/call_receiver.h"
 #include "proxy/shared_view.h"
 #include "settings/settings_type.h"
@@ -23,8 +23,8 @@
 {
     const Settings &settings;   ///< Settings of the daemon.
     const Clock &clock;         ///< Time.
-    ObjectStore &store;         ///< The platform, for short calls.
-    ObjectStore &watchStore;    ///< The platform, for watches.
+    HttpObjectStore &store;     ///< The platform, for short calls.
+    HttpObjectStore &watchStore; ///< The platform, for watches.
     Metrics &metrics;           ///< Counters.
     Timeline &timeline;         ///< Events.
     SharedView &view;           ///< Read by calls.
--- a/src/distribution/distribution.cpp
+++ b/src/distribution/distribution.cpp
@@ -24,6 +24,7 @@
     : m_options(options)
     , m_random(seed)
     , m_current(Configuration::empty())
+    , m_held(m_current)
     , m_snapshotTokens(options.snapshotsPerSecond)
 {}
 
@@ -52,7 +53,7 @@
 {
     std::optional<LinkId> best;
     for (const auto &peer : m_peers) {
-        if (peer.first == except || peer.second <= std::max(m_current->revision(), m_rejected))
+        if (peer.first == except || peer.second <= std::max(m_held->revision(), m_rejected))
             continue;
         if (!best || peer.second > m_peers.at(*best))
             best = peer.first;
@@ -66,15 +67,21 @@
         return;
     m_asked = link;
     m_askedUntil = now + m_options.answerTimeout;
-    actions.push_back(SendDistribution{link, ChangesRequest{m_current->revision()}});
+    actions.push_back(SendDistribution{link, ChangesRequest{m_held->revision()}});
 }
 
 DistributionActions Distribution::peerRevision(LinkId link, Revision revision, TimePoint now)
 {
     DistributionActions actions;
-    m_peers[link] = revision;
+    m_peers[link] = std::max(m_peers[link], revision);
+    putIntoForce(actions);
+    if (m_current->revision() == 0) {
+        // Time for more peers to say what they hold; the tick asks the best of them.
+        m_settled = m_settled == NEVER ? now + m_options.settle : m_settled;
+        return actions;
+    }
     // A version that failed its checks is not asked for again; a later one may mend it.
-    if (revision > std::max(m_current->revision(), m_rejected))
+    if (revision > std::max(m_held->revision(), m_rejected))
         ask(link, now, actions);
     return actions;
 }
@@ -110,25 +117,26 @@
     m_peers[link] = std::max(m_peers[link], message.revision);
     if (m_asked == link)
         m_asked = NO_LINK;
-    if (message.revision <= m_current->revision())
+    putIntoForce(actions);
+    if (message.revision <= m_held->revision() || belowFloor(message.revision))
         return;
-    if (!followsOn(message.changes, m_current->revision())) {
+    if (!followsOn(message.changes, m_held->revision())) {
         ask(link, now, actions);
         return;
     }
-    auto next = m_current->after(message.changes);
+    auto next = m_held->after(message.changes);
     if (!next) {
         reject(message.revision, next.error(), actions);
         return;
     }
-    putIntoForce(next.value(), message.changes, link, false, actions);
+    hold(next.value(), message.changes, link, false, actions);
 }
 
 void Distribution::onRequest(LinkId link, const ChangesRequest &request, TimePoint now,
                              DistributionActions &actions)
 {
-    m_peers[link] = request.have;
-    const Revision mine = m_current->revision();
+    m_peers[link] = std::max(m_peers[link], request.have);
+    const Revision mine = m_held->revision();
     const bool covered = request.have >= mine
                          || (!m_recent.empty() && m_recent.front().revision <= request.have + 1);
     if (covered) {
@@ -145,7 +153,7 @@
         return;
     }
     SnapshotMessage snapshot{mine, {}, {m_recent.begin(), m_recent.end()}};
-    for (const auto &item : m_current->entries())
+    for (const auto &item : m_held->entries())
         snapshot.entries.push_back(item.second);
     actions.push_back(SendDistribution{link, std::move(snapshot)});
 }
@@ -156,7 +164,7 @@
     m_peers[link] = std::max(m_peers[link], message.revision);
     if (m_asked == link)
         m_asked = NO_LINK;
-    if (message.revision <= m_current->revision())
+    if (message.revision <= m_held->revision() || belowFloor(message.revision))
         return;
     EntryMap entries;
     for (const EntryInForce &entry : message.entries)
@@ -166,7 +174,7 @@
         reject(message.revision, next.error(), actions);
         return;
     }
-    putIntoForce(next.value(), message.recent, link, true, actions);
+    hold(next.value(), message.recent, link, true, actions);
 }
 
 void Distribution::remember(const std::vector<Change> &changes)
@@ -180,32 +188,58 @@
     }
     while (m_recent.size() > m_options.recentMax)
         m_recent.pop_front();
-    if (!m_recent.empty() && m_recent.back().revision != m_current->revision())
+    if (!m_recent.empty() && m_recent.back().revision != m_held->revision())
         m_recent.clear();
 }
 
-void Distribution::putIntoForce(ConfigurationPtr next, const std::vector<Change> &changes,
-                                LinkId source, bool whole, DistributionActions &actions)
+void Distribution::hold(ConfigurationPtr next, const std::vector<Change> &changes, LinkId source, bool whole,
+                        DistributionActions &actions)
 {
-    if (next->revision() <= m_current->revision())
+    if (next->revision() <= m_held->revision())
         return;
-    const Revision before = m_current->revision();
-    m_current = std::move(next);
+    const Revision before = m_held->revision();
+    m_held = std::move(next);
+    m_heldWhole = whole;
     remember(changes);
-    const std::string cause = m_recent.empty() ? std::string() : m_recent.back().id;
-    actions.push_back(ApplyVersion{m_current, cause, whole});
     push(source, before, actions);
+    if (source != NO_LINK)
+        actions.push_back(SendDistribution{source, ChangesMessage{m_held->revision(), {}}});
+    putIntoForce(actions);
+}
+
+/**
+ * A version is put into force only once another daemon holds it too: this daemon may end at any
+ * time, keeps nothing, and must find no less than it ran when it comes back.
+ */
+void Distribution::putIntoForce(DistributionActions &actions)
+{
+    if (m_current == m_held)
+        return;
+    const auto holds = [&](const auto &peer) { return peer.second >= m_held->revision(); };
+    if (!m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), holds))
+        return;
+    m_current = m_held;
+    const std::string cause = m_recent.empty() ? std::string() : m_recent.back().id;
+    actions.push_back(ApplyVersion{m_current, cause, m_heldWhole});
+}
+
+/** A daemon that just began may have run any version that a peer has; it takes none below the best. */
+bool Distribution::belowFloor(Revision revision) const
+{
+    if (m_current->revision() != 0)
+        return false;
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &peer) { return peer.second > revision; });
 }
 
 void Distribution::push(LinkId source, Revision before, DistributionActions &actions)
 {
-    ChangesMessage news{m_current->revision(), {}};
+    ChangesMessage news{m_held->revision(), {}};
     for (const Change &change : m_recent) {
         if (change.revision > before)
             news.changes.push_back(change);
     }
     for (const auto &peer : m_peers) {
-        if (peer.first != source && peer.second < m_current->revision())
+        if (peer.first != source && peer.second < m_held->revision())
             actions.push_back(SendDistribution{peer.first, news});
     }
 }
@@ -269,15 +303,19 @@
         return;
     }
     const CatalogueHead &newest = head.value();
-    if (newest.revision <= m_current->revision()) {
+    if (belowFloor(newest.revision)) {
+        m_nextWatch = now + m_random.jitter(m_options.retryMin);
+        return;
+    }
+    if (newest.revision <= m_held->revision()) {
         m_headVersion = object.version;
         return;
     }
-    if (followsOn(newest.changes, m_current->revision())) {
+    if (followsOn(newest.changes, m_held->revision())) {
         m_headVersion = object.version;
-        auto next = m_current->after(newest.changes);
+        auto next = m_held->after(newest.changes);
         if (next)
-            putIntoForce(next.value(), newest.changes, NO_LINK, false, actions);
+            hold(next.value(), newest.changes, NO_LINK, false, actions);
         else
             reject(newest.revision, next.error(), actions);
         return;
@@ -307,7 +345,7 @@
         m_nextWatch = now + m_random.jitter(m_options.retryMax);
         return actions;
     }
-    putIntoForce(next.value(), m_headChanges, NO_LINK, true, actions);
+    hold(next.value(), m_headChanges, NO_LINK, true, actions);
     return actions;
 }
 
@@ -336,6 +374,12 @@
         if (again)
             ask(*again, now, actions);
     }
+    if (m_current->revision() == 0 && now >= m_settled && m_asked == NO_LINK) {
+        const auto best = bestPeer(NO_LINK);
+        if (best)
+            ask(*best, now, actions);
+    }
+    putIntoForce(actions);
     return actions;
 }
 
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -27,6 +27,9 @@
     /** @return the version in force. */
     const ConfigurationPtr &current() const { return m_current; }
 
+    /** @return the newest version that this daemon holds, in force or not yet: what peers are told. */
+    Revision heldRevision() const { return m_held->revision(); }
+
     /** This daemon begins or ceases to watch the platform. */
     DistributionActions setWatching(bool watching, TimePoint now);
 
@@ -68,8 +71,10 @@
                     DistributionActions &actions);
     void onHead(const StoredObject &object, TimePoint now, DistributionActions &actions);
     void reject(Revision revision, const Error &error, DistributionActions &actions);
-    void putIntoForce(ConfigurationPtr next, const std::vector<Change> &changes, LinkId source,
-                      bool whole, DistributionActions &actions);
+    void hold(ConfigurationPtr next, const std::vector<Change> &changes, LinkId source, bool whole,
+              DistributionActions &actions);
+    void putIntoForce(DistributionActions &actions);
+    bool belowFloor(Revision revision) const;
     void remember(const std::vector<Change> &changes);
     void push(LinkId source, Revision before, DistributionActions &actions);
     void ask(LinkId link, TimePoint now, DistributionActions &actions);
@@ -82,6 +87,9 @@
     const DistributionOptions m_options;
     Random m_random;
     ConfigurationPtr m_current;
+    ConfigurationPtr m_held;
+    bool m_heldWhole = false;
+    TimePoint m_settled = NEVER;
     std::deque<Change> m_recent;
     std::map<LinkId, Revision> m_peers;
 
--- a/src/http/deadline_stream.cpp
+++ b/src/http/deadline_stream.cpp
@@ -135,8 +135,10 @@
     error = {};
     while (true) {
         const ssize_t count = ::recv(m_socket, data, size, 0);
-        if (count > 0)
+        if (count > 0) {
+            m_bytesReceived += static_cast<std::size_t>(count);
             return static_cast<std::size_t>(count);
+        }
         if (count == 0) {
             error = boost::asio::error::make_error_code(boost::asio::error::eof);
             return 0;
@@ -156,6 +158,7 @@
         const ssize_t count = ::send(m_socket, data, size, MSG_NOSIGNAL);
         if (count >= 0) {
             m_sent = m_sent || count > 0;
+            m_bytesSent += static_cast<std::size_t>(count);
             return static_cast<std::size_t>(count);
         }
         if (errno == EINTR)
--- a/src/http/deadline_stream.h
+++ b/src/http/deadline_stream.h
@@ -43,7 +43,18 @@
     bool hasSent() const { return m_sent; }
 
     /** Begins a new exchange. */
-    void resetSent() { m_sent = false; }
+    void resetSent()
+    {
+        m_sent = false;
+        m_bytesSent = 0;
+        m_bytesReceived = 0;
+    }
+
+    /** @return bytes sent in this exchange. */
+    std::size_t bytesSent() const { return m_bytesSent; }
+
+    /** @return bytes received in this exchange. */
+    std::size_t bytesReceived() const { return m_bytesReceived; }
 
     /** @return true when the caller's socket ended the last wait. */
     bool callerLeft() const { return m_callerLeft; }
@@ -106,6 +117,8 @@
     TimePoint m_deadline = NEVER;
     bool m_sent = false;
     bool m_callerLeft = false;
+    std::size_t m_bytesSent = 0;
+    std::size_t m_bytesReceived = 0;
 };
 
 } // namespace cornelwell
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -161,7 +161,10 @@
     if (!stream)
         return outcome;
     stream->setBounds(bounds.deadline, bounds.callerSocket);
-    if (exchange(*stream, server, request, bounds, outcome))
+    const bool reusable = exchange(*stream, server, request, bounds, outcome);
+    m_bytesSent += stream->bytesSent();
+    m_bytesReceived += stream->bytesReceived();
+    if (reusable)
         keep(server, std::move(stream));
     return outcome;
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -6,6 +6,7 @@
 #include "base/identifier_type.h"
 #include "http/http_type.h"
 
+#include <atomic>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -25,6 +26,13 @@
     Duration connectMax = {1000};           ///< Longest wait for a connection.
 };
 
+/** Bytes that a client exchanged. */
+struct HttpTraffic
+{
+    std::uint64_t bytesSent = 0;     ///< Bytes sent.
+    std::uint64_t bytesReceived = 0; ///< Bytes received.
+};
+
 /** Kept connections to servers, shared by the threads of a process. */
 class HttpClient
 {
@@ -51,6 +59,9 @@
     /** Opens connections ahead of use. @return connections open and unused. */
     std::size_t openAhead(const Endpoint &server, std::size_t count);
 
+    /** @return bytes exchanged so far. */
+    HttpTraffic traffic() const { return {m_bytesSent, m_bytesReceived}; }
+
     /** Closes the unused connections to a server. */
     void forget(const Endpoint &server);
 
@@ -72,6 +83,8 @@
     const std::size_t m_idlePerServer;
     std::mutex m_mutex;
     std::map<Endpoint, std::deque<IdleStream>> m_idle;
+    std::atomic<std::uint64_t> m_bytesSent{0};
+    std::atomic<std::uint64_t> m_bytesReceived{0};
 };
 
 } // namespace cornelwell
--- a/src/platform/http_object_store.h
+++ b/src/platform/http_object_store.h
@@ -25,6 +25,9 @@
 public:
     HttpObjectStore(HttpObjectStoreOptions options, const Clock &clock);
 
+    /** @return bytes exchanged with the platform so far. */
+    HttpTraffic traffic() const { return m_client.traffic(); }
+
     Result<StoredObject> read(const std::string &name) override;
     Result<ObjectVersion> create(const std::string &name, const std::string &text) override;
     Result<ObjectVersion> update(const std::string &name, const std::string &text,
