Feature: fewer repeats on links, links that settle, and cuts for experiments

Cause: a daemon closed a link that it had no use for; the other side took that for a failure, opened it again, found it useless and closed it, over and over (0.3 links/s each). Changes went out on every link, so each daemon received a change five times.

Change: an orderly close is told from a break. Changes are pushed on the links a daemon wants and are asked for on the others. The admin address can cut a daemon off from addresses when its settings allow experiments.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -167,7 +167,8 @@
                                {"address", server.address},
                                {"ports", {{"call", 7101}, {"relay", 7102}, {"peer", 7103}, {"admin", 7104}}},
                                {"platform", {{"addresses", {formatEndpoint(platform())}}, {"direct", plan.direct ? 1 : 0}}},
-                               {"timeline", {{"events", 20000}}}};
+                               {"timeline", {{"events", 20000}}},
+                               {"experiment", {{"cuts", 1}}}};
     if (!plan.service.empty())
         settings["backend"] = {{"service", plan.service}, {"address", formatEndpoint(backend(index))},
                                {"slots", plan.slots},     {"queue", plan.queue},
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -40,9 +40,22 @@
     }
     if (establishedLinks() == 0)
         bootstrap(now, actions);
+    chooseEagerLinks(wanted);
     closeUnwanted(wanted, now, actions);
 }
 
+/** Pushes go along the links that this daemon wants: they connect all daemons, with few repeats. */
+void ControlNode::chooseEagerLinks(const std::set<ServerId> &wanted)
+{
+    for (const auto &item : m_links) {
+        if (!item.second.peer)
+            continue;
+        const MemberRecord &peer = *item.second.peer;
+        const bool remote = peer.dataCentre != m_membership.self().dataCentre;
+        m_distribution.setEager(item.first, remote || wanted.count(peer.id) != 0);
+    }
+}
+
 void ControlNode::maintainRemoteLinks(TimePoint now, ControlActions &actions,
                                       std::set<ServerId> &wanted)
 {
@@ -58,12 +71,25 @@
     }
 }
 
+bool ControlNode::isLivingPeer(const Endpoint &endpoint) const
+{
+    const auto &members = m_membership.members();
+    return std::any_of(members.begin(), members.end(), [&](const auto &item) {
+        return isLiving(item.second) && peerEndpoint(item.second.record) == endpoint;
+    });
+}
+
 std::optional<Endpoint> ControlNode::randomContact(const DataCentreId &dataCentre)
 {
     std::vector<Endpoint> candidates;
     const auto contacts = m_contacts.find(dataCentre);
     if (contacts != m_contacts.end())
         candidates = contacts->second;
+    if (establishedLinks() > 0) {
+        // Those that are known to live are linked by the ordinary rules.
+        const auto known = [this](const Endpoint &endpoint) { return isLivingPeer(endpoint); };
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), known), candidates.end());
+    }
     for (const auto &item : m_membership.members()) {
         const bool givenUp
             = !isLiving(item.second) && item.second.record.state != MemberState::Gone;
@@ -196,12 +222,7 @@
     const std::vector<Endpoint> &listed = m_contacts[mine];
     const std::vector<Endpoint> living = livingContacts();
     const auto alive = static_cast<std::size_t>(
-        std::count_if(listed.begin(), listed.end(), [&](const Endpoint &e) {
-            const auto &members = m_membership.members();
-            return std::any_of(members.begin(), members.end(), [&](const auto &item) {
-                return isLiving(item.second) && peerEndpoint(item.second.record) == e;
-            });
-        }));
+        std::count_if(listed.begin(), listed.end(), [this](const Endpoint &e) { return isLivingPeer(e); }));
     const std::size_t enough = std::min(CONTACTS_ALIVE_MIN, living.size());
     // Only a daemon that had the time to find its peers may call the listed ones dead.
     const bool mayJudge = listed.empty() || (m_relayRole && now >= m_roleFrom);
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -215,7 +215,8 @@
         return actions;
     const Link link = at->second;
     forgetLink(id);
-    if (!link.peer)
+    // An orderly end says that the peer has no use for the link, not that it is gone.
+    if (!link.peer || code == ResultCode::Ok)
         return actions;
     actions.push_back(RecordEvent{EventKind::LinkClosed, {}, linkName(link), {}, code});
     // Whether the peer is gone shows when the link is opened anew: it is then refused.
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -38,7 +38,7 @@
     /** A link could not be opened. @param refused True when the machine refused the connection. */
     ControlActions linkFailed(const Endpoint &target, bool refused, TimePoint now);
 
-    /** A link was closed by the other side or broke. */
+    /** A link was closed by the other side (Ok: in order, for want of use) or broke. */
     ControlActions linkClosed(LinkId link, ResultCode code, TimePoint now);
 
     /** A message came in. */
@@ -104,6 +104,7 @@
     void maintainRemoteLinks(TimePoint now, ControlActions &actions, std::set<ServerId> &wanted);
     void heal(TimePoint now, ControlActions &actions);
     void bootstrap(TimePoint now, ControlActions &actions);
+    void chooseEagerLinks(const std::set<ServerId> &wanted);
     void closeUnwanted(const std::set<ServerId> &wanted, TimePoint now, ControlActions &actions);
     void updateRole(TimePoint now, ControlActions &actions);
     void maintainContacts(TimePoint now, ControlActions &actions);
@@ -111,6 +112,7 @@
     bool linkedTo(const ServerId &id) const;
     bool linkedToDataCentre(const DataCentreId &dataCentre) const;
     std::vector<Endpoint> livingContacts() const;
+    bool isLivingPeer(const Endpoint &endpoint) const;
     std::optional<Endpoint> randomContact(const DataCentreId &dataCentre);
     std::string linkName(const Link &link) const;
 
--- a/src/control/tests/control_test.cpp
+++ b/src/control/tests/control_test.cpp
@@ -239,3 +239,13 @@
     for (std::size_t i = 0; i < fleet.size(); i++)
         CHECK(fleet.node(i).membership().find(leaving)->record.state == MemberState::Draining);
 }
+
+TEST_CASE("links settle: none is opened and closed over and over", "[control]")
+{
+    FakeFleet fleet(16);
+    settle(fleet);
+    fleet.run(seconds(30));
+    const std::size_t before = fleet.messagesSent["hello"];
+    fleet.run(seconds(60));
+    CHECK(fleet.messagesSent["hello"] == before);
+}
--- a/src/daemon/admin_handler.cpp
+++ b/src/daemon/admin_handler.cpp
@@ -48,6 +48,8 @@
         return timeline();
     if (reading && request.path == "/entries")
         return entries();
+    if (request.method == "POST" && request.path == "/experiment/cut" && m_parts.settings.experimentCuts)
+        return cut(request);
     if (request.method == "POST" && request.path == "/drain") {
         m_drain();
         return textResponse(200, "draining\n");
@@ -56,6 +58,20 @@
                         "GET /health /metrics /status /members /timeline /entries, POST /drain\n");
 }
 
+HttpResponse AdminHandler::cut(const HttpRequest &request)
+{
+    const nlohmann::json list = nlohmann::json::parse(request.body, nullptr, false);
+    if (!list.is_array())
+        return textResponse(400, "give a JSON list of IP numbers\n");
+    std::set<std::string> addresses;
+    for (const nlohmann::json &address : list) {
+        if (address.is_string())
+            addresses.insert(address.get<std::string>());
+    }
+    m_parts.cuts.set(std::move(addresses));
+    return textResponse(200, "cut\n");
+}
+
 HttpResponse AdminHandler::health() const
 {
     const Revision revision = m_parts.view.configuration()->revision();
--- a/src/daemon/admin_handler.h
+++ b/src/daemon/admin_handler.h
@@ -20,6 +20,7 @@
     SharedView &view;         ///< Configuration in force.
     const Settings &settings; ///< Settings of the daemon.
     CallReceiver &receiver;   ///< The own server.
+    NetworkCuts &cuts;        ///< Set by experiments.
 };
 
 /** Answers operators. */
@@ -42,6 +43,7 @@
     HttpResponse members();
     HttpResponse timeline() const;
     HttpResponse entries() const;
+    HttpResponse cut(const HttpRequest &request);
 
     const AdminParts m_parts;
     const std::function<void()> m_drain;
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -95,7 +95,7 @@
         , m_transport(m_context,
                       PeerTransportOptions{parts.settings.peer.messageBytesMax,
                                            parts.settings.peer.messagesPerSecondMax,
-                                           parts.settings.peer.linksMax},
+                                           parts.settings.peer.linksMax, &parts.cuts},
                       parts.clock, *this)
         , m_timer(m_context)
         , m_signals(m_context, SIGTERM, SIGINT)
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -28,6 +28,7 @@
     Metrics &metrics;           ///< Counters.
     Timeline &timeline;         ///< Events.
     SharedView &view;           ///< Read by calls.
+    const NetworkCuts &cuts;    ///< Addresses that an experiment cuts off.
     ReceiverIdentity &identity; ///< Incarnation, as claims carry it.
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -95,9 +95,9 @@
         , m_edge(senderParts(), m_sender, m_registry, settings)
         , m_relay(senderParts(), m_receiver)
         , m_loop(
-              {settings, m_clock, m_store, m_watchStore, m_metrics, m_timeline, m_view, m_identity},
+              {settings, m_clock, m_store, m_watchStore, m_metrics, m_timeline, m_view, m_cuts, m_identity},
               m_incarnation)
-        , m_admin({m_loop, m_metrics, m_timeline, m_view, settings, m_receiver},
+        , m_admin({m_loop, m_metrics, m_timeline, m_view, settings, m_receiver, m_cuts},
                   [this] { beginDrain(); })
     {
         m_identity.server = settings.id;
@@ -111,6 +111,8 @@
         BOOST_OUTCOME_TRY(listen());
         m_timeline.record(EventKind::DaemonStarted, {}, m_settings.id.text(), CORNELWELL_VERSION);
         logLine(LogLevel::Info, LogCategory::Daemon, "DaemonStarted " + m_settings.id.text());
+        if (m_settings.experimentCuts)
+            logLine(LogLevel::Warn, LogCategory::Daemon, "experiment.cuts is set: not for service");
         if (m_settings.backend.present)
             m_probe.emplace(m_settings.backend, m_clock,
                             [this](MemberState state) { onProbe(state); });
@@ -122,7 +124,7 @@
 private:
     SenderParts senderParts()
     {
-        return {m_view, m_receiver, m_identity, m_metrics, m_timeline, m_store, m_clock};
+        return {m_view, m_receiver, m_identity, m_metrics, m_timeline, m_store, &m_cuts, m_clock};
     }
 
     Result<void> listen()
@@ -210,6 +212,7 @@
 
     const Settings &m_settings;
     SystemClock m_clock;
+    NetworkCuts m_cuts;
     Cancellation m_cancellation;
     HttpObjectStore m_store;
     HttpObjectStore m_watchStore;
--- a/src/distribution/distribution.cpp
+++ b/src/distribution/distribution.cpp
@@ -42,9 +42,18 @@
     m_peers[link] = 0;
 }
 
+void Distribution::setEager(LinkId link, bool eager)
+{
+    if (eager)
+        m_lazy.erase(link);
+    else
+        m_lazy.insert(link);
+}
+
 void Distribution::linkClosed(LinkId link)
 {
     m_peers.erase(link);
+    m_lazy.erase(link);
     if (m_asked == link)
         m_asked = NO_LINK;
 }
@@ -239,7 +248,8 @@
             news.changes.push_back(change);
     }
     for (const auto &peer : m_peers) {
-        if (peer.first != source && peer.second < m_held->revision())
+        const bool eager = m_lazy.count(peer.first) == 0;
+        if (eager && peer.first != source && peer.second < m_held->revision())
             actions.push_back(SendDistribution{peer.first, news});
     }
 }
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace cornelwell {
 
@@ -36,6 +37,9 @@
     /** A link to a peer is up. */
     void linkOpened(LinkId link);
 
+    /** Changes are pushed at once on an eager link; on another one the peer asks when it is behind. */
+    void setEager(LinkId link, bool eager);
+
     /** A link to a peer is down. */
     void linkClosed(LinkId link);
 
@@ -92,6 +96,7 @@
     TimePoint m_settled = NEVER;
     std::deque<Change> m_recent;
     std::map<LinkId, Revision> m_peers;
+    std::set<LinkId> m_lazy;
 
     bool m_watching = false;
     bool m_watchOutstanding = false;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 namespace cornelwell {
 
@@ -105,8 +107,8 @@
 
 } // namespace
 
-HttpClient::HttpClient(const Clock &clock, std::size_t idlePerServer)
-    : m_clock(clock), m_idlePerServer(idlePerServer)
+HttpClient::HttpClient(const Clock &clock, std::size_t idlePerServer, const NetworkCuts *cuts)
+    : m_clock(clock), m_idlePerServer(idlePerServer), m_cuts(cuts)
 {}
 
 HttpClient::~HttpClient() = default;
@@ -155,6 +157,13 @@
                                 const HttpBounds &bounds)
 {
     HttpOutcome outcome;
+    if (m_cuts != nullptr && m_cuts->isCut(server.ip)) {
+        const TimePoint soonest = std::min(bounds.deadline, m_clock.now() + bounds.connectMax);
+        std::this_thread::sleep_for(std::chrono::milliseconds((soonest - m_clock.now()).ms));
+        outcome.failure = HttpFailure::NotSent;
+        outcome.detail = "cut off by an experiment";
+        return outcome;
+    }
     StreamPtr stream = takeIdle(server);
     if (!stream)
         stream = open(server, bounds, outcome);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/network_cuts.h"
 #include "base/identifier_type.h"
 #include "http/http_type.h"
 
@@ -40,8 +41,9 @@
     /**
      * @param clock For the age of kept connections.
      * @param idlePerServer Connections kept to one server while unused.
+     * @param cuts Addresses that an experiment cuts off; may be null.
      */
-    HttpClient(const Clock &clock, std::size_t idlePerServer);
+    HttpClient(const Clock &clock, std::size_t idlePerServer, const NetworkCuts *cuts = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -81,6 +83,7 @@
 
     const Clock &m_clock;
     const std::size_t m_idlePerServer;
+    const NetworkCuts *m_cuts;
     std::mutex m_mutex;
     std::map<Endpoint, std::deque<IdleStream>> m_idle;
     std::atomic<std::uint64_t> m_bytesSent{0};
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -75,7 +75,9 @@
         prepare(m_client, context);
         m_server.set_reuse_addr(true);
         m_server.set_listen_backlog(LISTEN_BACKLOG);
-        m_server.set_validate_handler([this](Handle) { return m_accepted < m_options.linksMax; });
+        m_server.set_validate_handler([this](Handle handle) {
+            return m_accepted < m_options.linksMax && !isCut(remoteAddress(m_server, handle));
+        });
         m_server.set_open_handler([this](Handle handle) { opened(handle, std::nullopt); });
     }
 
@@ -96,6 +98,10 @@
 
     void open(const Endpoint &endpoint)
     {
+        if (isCut(endpoint.ip)) {
+            m_events.onLinkFailed(endpoint, false);
+            return;
+        }
         ws::lib::error_code error;
         const Client::connection_ptr connection
             = m_client.get_connection("ws://" + formatEndpoint(endpoint) + "/peer", error);
@@ -113,6 +119,8 @@
         const auto at = m_links.find(id);
         if (at == m_links.end())
             return;
+        if (isCut(at->second.address))
+            return;
         m_traffic.bytesSent += bytes.size() + frameBytes(bytes.size());
         m_traffic.messagesSent++;
         ws::lib::error_code error;
@@ -159,6 +167,7 @@
     struct Link
     {
         Handle handle;         ///< Connection of one of the two endpoints.
+        std::string address; ///< IP number of the other side.
         bool mine = false;     ///< True when this side opened it.
         TimePoint second{0};   ///< Start of the current second of the rate bound.
         unsigned messages = 0; ///< Messages in the current second.
@@ -178,6 +187,20 @@
         endpoint.set_close_handler([this](Handle handle) { closed(handle); });
     }
 
+    bool isCut(const std::string &address) const { return m_options.cuts != nullptr && m_options.cuts->isCut(address); }
+
+    template<typename EndpointType>
+    std::string remoteAddress(EndpointType &endpoint, const Handle &handle) const
+    {
+        ws::lib::error_code error;
+        const auto connection = endpoint.get_con_from_hdl(handle, error);
+        if (error)
+            return {};
+        boost::system::error_code closed;
+        const auto remote = connection->get_raw_socket().remote_endpoint(closed);
+        return closed ? std::string() : remote.address().to_string();
+    }
+
     std::map<std::uint64_t, Link>::iterator findLink(const Handle &handle)
     {
         for (auto at = m_links.begin(); at != m_links.end(); ++at) {
@@ -202,6 +225,7 @@
         Link link;
         link.handle = handle;
         link.mine = target.has_value();
+        link.address = target ? target->ip : remoteAddress(m_server, handle);
         m_links[id] = link;
         m_accepted += link.mine ? 0 : 1;
         m_events.onLinkOpened(id, target);
@@ -228,20 +252,25 @@
         m_events.onLinkClosed(id, code);
     }
 
-    /** Tells a message over the limit from an ordinary end. */
+    /** Tells a message over the limit and an orderly end from a break. */
     ResultCode closeCode(const Link &link)
     {
         ws::lib::error_code error;
-        ws::close::status::value local = ws::close::status::normal;
         if (link.mine) {
             const auto connection = m_client.get_con_from_hdl(link.handle, error);
-            local = error ? local : connection->get_local_close_code();
-        } else {
-            const auto connection = m_server.get_con_from_hdl(link.handle, error);
-            local = error ? local : connection->get_local_close_code();
+            return error ? ResultCode::PeerClosed
+                         : codeOf(connection->get_local_close_code(), connection->get_remote_close_code());
         }
-        return local == ws::close::status::message_too_big ? ResultCode::PeerTooLarge
-                                                           : ResultCode::PeerClosed;
+        const auto connection = m_server.get_con_from_hdl(link.handle, error);
+        return error ? ResultCode::PeerClosed
+                     : codeOf(connection->get_local_close_code(), connection->get_remote_close_code());
+    }
+
+    static ResultCode codeOf(ws::close::status::value local, ws::close::status::value remote)
+    {
+        if (local == ws::close::status::message_too_big)
+            return ResultCode::PeerTooLarge;
+        return remote == ws::close::status::normal ? ResultCode::Ok : ResultCode::PeerClosed;
     }
 
     void received(const Handle &handle, const std::string &bytes)
@@ -251,6 +280,8 @@
             return;
         const std::uint64_t id = at->first;
         Link &link = at->second;
+        if (isCut(link.address))
+            return;
         m_traffic.bytesReceived += bytes.size() + frameBytes(bytes.size());
         m_traffic.messagesReceived++;
         const TimePoint now = m_clock.now();
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/identifier_type.h"
+#include "base/network_cuts.h"
 #include "base/result.h"
 
 #include <cstddef>
@@ -27,7 +28,7 @@
     virtual void onLinkOpened(std::uint64_t link, const std::optional<Endpoint> &target) = 0;
     /** A link could not be opened. @param refused True when the machine refused the connection. */
     virtual void onLinkFailed(const Endpoint &target, bool refused) = 0;
-    /** A link was closed, but not by close(). */
+    /** A link was closed, but not by close(); Ok when the peer has no use for it any more. */
     virtual void onLinkClosed(std::uint64_t link, ResultCode code) = 0;
     /** A message came in. */
     virtual void onLinkMessage(std::uint64_t link, const std::string &bytes) = 0;
@@ -39,6 +40,7 @@
     std::size_t messageBytesMax = 4 * 1024 * 1024; ///< Longest message.
     unsigned messagesPerSecondMax = 500;           ///< Messages taken from one link.
     unsigned linksMax = 64;                        ///< Links accepted.
+    const NetworkCuts *cuts = nullptr;             ///< Addresses that an experiment cuts off.
 };
 
 /** Bytes that crossed links. */
--- a/src/proxy/call_sender.cpp
+++ b/src/proxy/call_sender.cpp
@@ -29,7 +29,7 @@
                        std::size_t bodyBytesMax)
     : m_parts(parts)
     , m_bodyBytesMax(bodyBytesMax)
-    , m_client(parts.clock, connectionsPerServer)
+    , m_client(parts.clock, connectionsPerServer, parts.cuts)
     , m_budget(RetryOptions())
 {}
 
--- a/src/proxy/call_sender.h
+++ b/src/proxy/call_sender.h
@@ -23,6 +23,7 @@
     Metrics &metrics;                 ///< Counters.
     Timeline &timeline;               ///< Events.
     ObjectStore &store;               ///< The platform, to look for claims.
+    const NetworkCuts *cuts; ///< Addresses that an experiment cuts off; may be null.
     const Clock &clock;               ///< Time.
 };
 
--- a/src/settings/settings_func.cpp
+++ b/src/settings/settings_func.cpp
@@ -275,6 +275,7 @@
     settings.call.patienceMax = reader.span("/call/patience_max_ms");
     settings.drain = {reader.span("/drain/announce_ms"), reader.span("/drain/limit_ms")};
     settings.logLevel = reader.text("/log/level", "info");
+    settings.experimentCuts = reader.number("/experiment/cuts") != 0;
     settings.timelineEvents = static_cast<std::size_t>(reader.number("/timeline/events"));
     return settings;
 }
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -88,6 +88,7 @@
     DrainSettings drain;            ///< Graceful shutdown.
     std::string logLevel;           ///< Least severe level that is written.
     std::size_t timelineEvents = 0; ///< Events kept in memory.
+    bool experimentCuts = false; ///< The admin address may cut this daemon off; for experiments only.
 };
 
 } // namespace cornelwell
--- a/src/settings/table/settings_schema.h
+++ b/src/settings/table/settings_schema.h
@@ -102,6 +102,8 @@
     {"/log/level", K::LogLevel, false, 0, 0, 0, "", "trace, debug, info (default), warn or error"},
     {"/timeline", K::Object, false, 0, 0, 0, "", "the time line"},
     {"/timeline/events", K::Number, false, 64, 1000000, 4096, "events", "events kept in memory"},
+    {"/experiment", K::Object, false, 0, 0, 0, "", "for experiments only"},
+    {"/experiment/cuts", K::Number, false, 0, 1, 0, "0 or 1", "1: POST /experiment/cut on the admin address cuts this daemon off from IP numbers"},
 };
 
 } // namespace cornelwell
--- a/tests/fake_fleet.cpp
+++ b/tests/fake_fleet.cpp
@@ -139,7 +139,7 @@
             own.push_back(item.first);
     }
     for (const LinkId link : own)
-        closeLink(daemon, link);
+        closeLink(link, ResultCode::PeerClosed);
 }
 
 void FakeFleet::tick(std::size_t daemon, std::uint64_t incarnation)
@@ -170,7 +170,7 @@
     std::uint64_t incarnation;
 
     void operator()(const OpenLink &open) const { fleet.openLink(daemon, open.endpoint); }
-    void operator()(const CloseLink &close) const { fleet.closeLink(daemon, close.link); }
+    void operator()(const CloseLink &close) const { fleet.closeLink(close.link, close.code); }
     void operator()(const SendMessage &send) const { fleet.send(daemon, send); }
     void operator()(const ReadContacts &) const
     {
@@ -308,7 +308,7 @@
     }
 }
 
-void FakeFleet::closeLink(std::size_t, LinkId link)
+void FakeFleet::closeLink(LinkId link, ResultCode code)
 {
     const auto at = m_ends.find(link);
     if (at == m_ends.end())
@@ -318,8 +318,8 @@
     m_ends.erase(end.peerLink);
     if (isCut(m_daemons[end.daemon].dataCentre, m_daemons[end.peer].dataCentre))
         return;
-    onDaemon(end.peer, end.peerIncarnation, delay(), [this, end](ControlNode &node) {
-        return node.linkClosed(end.peerLink, ResultCode::PeerClosed, m_now);
+    onDaemon(end.peer, end.peerIncarnation, delay(), [this, end, code](ControlNode &node) {
+        return node.linkClosed(end.peerLink, code, m_now);
     });
 }
 
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -119,7 +119,7 @@
     void execute(std::size_t daemon, ControlActions actions);
     void openLink(std::size_t from, const Endpoint &endpoint);
     void send(std::size_t from, const SendMessage &message);
-    void closeLink(std::size_t from, LinkId link);
+    void closeLink(LinkId link, ResultCode code);
     void breakLinks(std::size_t daemon);
     void tick(std::size_t daemon, std::uint64_t incarnation);
     void apply(std::size_t daemon, const ApplyVersion &action);
