Fix: membership: hearsay of a failure is a suspicion first

Cause: when a cut healed, the other side's verdict 'failed' about servers that this side talked to all the time took them out of the routing until they answered (seen in a partition experiment: MemberFailed for two live neighbours).

Change: a failure told by others makes a live server suspected, with the time to answer. The experiment's cut also covers the platform now: it did not, and the partition figures before this commit are worthless.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -80,10 +80,10 @@
 public:
     explicit Daemon(const Settings &settings)
         : m_settings(settings)
-        , m_store({settings.platform.addresses, settings.platform.timeout, m_cancellation.socket()},
+        , m_store({settings.platform.addresses, settings.platform.timeout, m_cancellation.socket(), &m_cuts},
                   m_clock)
         , m_watchStore(
-              {settings.platform.addresses, settings.platform.timeout, m_cancellation.socket()},
+              {settings.platform.addresses, settings.platform.timeout, m_cancellation.socket(), &m_cuts},
               m_clock)
         , m_incarnation(static_cast<std::uint64_t>(m_clock.wallNow().ms))
         , m_timeline({settings.id, settings.dataCentre, m_incarnation}, settings.timelineEvents,
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -127,7 +127,8 @@
         Member &added = m_members[claim.record.id] = member;
         if (!dead)
             outcome.news.push_back({MembershipNews::Kind::Joined, claim.record});
-        takeOpinion(added, claim, now, outcome);
+        if (claim.opinion > added.opinion)
+            formOpinion(added, claim.opinion, now, outcome);
         outcome.tell.push_back(claim);
         outcome.changed = true;
         return;
@@ -138,7 +139,7 @@
     if (version(claim.record) == version(member.record)) {
         if (claim.opinion > member.opinion) {
             takeOpinion(member, claim, now, outcome);
-            outcome.tell.push_back(claim);
+            outcome.tell.push_back({member.record, member.opinion});
         }
         return;
     }
@@ -165,8 +166,11 @@
 void Membership::takeOpinion(Member &member, const MemberClaim &claim, TimePoint now,
                              MembershipOutcome &outcome)
 {
-    if (claim.opinion > member.opinion)
-        formOpinion(member, claim.opinion, now, outcome);
+    if (claim.opinion <= member.opinion)
+        return;
+    // Hearsay of a failure is a suspicion first: the server may live on this side of a healed cut.
+    const bool hearsay = claim.opinion == MemberOpinion::Failed && member.opinion == MemberOpinion::Alive;
+    formOpinion(member, hearsay ? MemberOpinion::Suspected : claim.opinion, now, outcome);
 }
 
 void Membership::formOpinion(Member &member, MemberOpinion opinion, TimePoint now,
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -99,6 +99,17 @@
     CHECK(a.find(ServerId("b")) == nullptr);
 }
 
+TEST_CASE("hearsay of a failure leaves the server the time to answer", "[membership]")
+{
+    Membership a = table("a");
+    a.receive(alive(record("b")), START);
+    const auto outcome = a.receive({{record("b"), MemberOpinion::Failed}}, START);
+    CHECK(isLiving(*a.find(ServerId("b"))));
+    CHECK(outcome.tell.front().opinion == MemberOpinion::Suspected);
+    a.tick(START + seconds(2));
+    CHECK_FALSE(isLiving(*a.find(ServerId("b"))));
+}
+
 TEST_CASE("equal tables have equal digests, whatever the order of the news", "[membership]")
 {
     Membership a = table("a");
