Fix: membership: a daemon that said it is gone crashed while it waited to end

The core showed linkTargets: a server that announced 'gone' is not on the ring of its own table, and the search for its successor went past the end. The HTTP listeners and the event loop were ruled out by an address sanitizer run of the same step, which was clean, and by the core's stack.

Change: such a server wants no links; a test holds it.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -300,6 +300,9 @@
     std::sort(ring.begin(), ring.end());
     const auto mine = std::find_if(ring.begin(), ring.end(),
                                    [&](const auto &place) { return place.second == m_selfId; });
+    // A server that said it is gone stands on no ring and needs no links.
+    if (mine == ring.end())
+        return targets;
     const auto successor = mine + 1 == ring.end() ? ring.begin() : mine + 1;
     targets.push_back(successor->second);
     std::sort(weights.begin(), weights.end(), [](const auto &a, const auto &b) { return b < a; });
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -157,3 +157,11 @@
     }
     CHECK(relays == 2);
 }
+
+TEST_CASE("a server that has left wants no links", "[membership]")
+{
+    Membership a = table("a");
+    a.receive(alive(record("b")), START);
+    a.announce(MemberState::Gone, START);
+    CHECK(a.linkTargets(3).empty());
+}
