--- a/bench/distribution_command.cpp
+++ b/bench/distribution_command.cpp
@@ -1,4 +1,5 @@
-/** @file distribution_command.cpp `distribution`: convergence and cost of control, with and without faults. */
+/** @file distribution_command.cpp `distribution`: convergence and cost of control, with and without
+ * faults. */
 #include "bench_internal.h"
 #include "fleet.h"
 #include "load.h"
@@ -13,10 +14,10 @@
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <iostream>
-#include <atomic>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -27,12 +28,12 @@
 
 using Json = nlohmann::json;
 
-constexpr unsigned DATA_CENTRES = 3;          ///< Data centres of the fleet.
-constexpr int FIRST_ENTRIES = 20;             ///< Entries before the measurement.
-constexpr Duration SETTLE_AFTER = {3000};     ///< Time after the last change.
-constexpr double SETTLE_SECONDS_MAX = 30;     ///< Longest wait for the fleet to find itself.
-constexpr double OUTAGE_PART = 0.3;           ///< Part of the measurement for which a fault lasts.
-constexpr std::size_t READING_THREADS = 8;    ///< Daemons asked at once.
+constexpr unsigned DATA_CENTRES = 3;       ///< Data centres of the fleet.
+constexpr int FIRST_ENTRIES = 20;          ///< Entries before the measurement.
+constexpr Duration SETTLE_AFTER = {3000};  ///< Time after the last change.
+constexpr double SETTLE_SECONDS_MAX = 30;  ///< Longest wait for the fleet to find itself.
+constexpr double OUTAGE_PART = 0.3;        ///< Part of the measurement for which a fault lasts.
+constexpr std::size_t READING_THREADS = 8; ///< Daemons asked at once.
 
 /** What the command was asked. */
 struct Options
@@ -86,8 +87,7 @@
         , m_fleet(options.net)
         , m_random(options.seed)
         , m_store({{m_fleet.platform()}, {2000}}, m_clock)
-    {
-    }
+    {}
 
     int run()
     {
@@ -136,8 +136,11 @@
         change.author = "bench";
         change.vote = "bench";
         change.acceptedAt = m_clock.wallNow();
-        const auto pause = [](Duration span) { std::this_thread::sleep_for(std::chrono::milliseconds(span.ms)); };
-        const auto accepted = CatalogueWriter(m_store, pause, m_random.bits()).accept(change, false);
+        const auto pause = [](Duration span) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(span.ms));
+        };
+        const auto accepted
+            = CatalogueWriter(m_store, pause, m_random.bits()).accept(change, false);
         if (!accepted)
             return false;
         m_accepted.push_back({accepted.value().revision, m_clock.wallNow().ms});
@@ -158,9 +161,12 @@
             return one;
         one.valid = true;
         one.incarnation = status.value("incarnation", std::uint64_t(0));
-        one.bytes = metricSum(text, "control_wire_bytes", "") + metricSum(text, "platform_wire_bytes", "");
-        for (const char *kind : {"hello", "heartbeat", "members", "digest", "changes", "changes_request", "snapshot"})
-            one.bytesByKind[kind] = metricSum(text, "control_message_bytes_total", std::string("kind=\"") + kind + "\"");
+        one.bytes = metricSum(text, "control_wire_bytes", "")
+                    + metricSum(text, "platform_wire_bytes", "");
+        for (const char *kind :
+             {"hello", "heartbeat", "members", "digest", "changes", "changes_request", "snapshot"})
+            one.bytesByKind[kind] = metricSum(text, "control_message_bytes_total",
+                                              std::string("kind=\"") + kind + "\"");
         one.bytesByKind["platform"] = metricSum(text, "platform_wire_bytes", "");
         one.usage = m_fleet.usage(server);
         return one;
@@ -174,7 +180,10 @@
         return samples;
     }
 
-    Json platformCounts() const { return Json::parse(fetch(m_fleet.platform(), "/control"), nullptr, false); }
+    Json platformCounts() const
+    {
+        return Json::parse(fetch(m_fleet.platform(), "/control"), nullptr, false);
+    }
 
     void measure()
     {
@@ -186,7 +195,8 @@
         std::thread churn([this] { causeChurn(); });
         for (unsigned i = 0; i < m_options.changes; i++) {
             m_refused += propose("change-" + std::to_string(i)) ? 0 : 1;
-            const double next = (i + 1) * step - static_cast<double>((m_clock.now() - begun).ms) / 1000.0;
+            const double next
+                = (i + 1) * step - static_cast<double>((m_clock.now() - begun).ms) / 1000.0;
             pauseFor(next);
         }
         fault.join();
@@ -224,7 +234,8 @@
         if (m_options.fault == "herd")
             killAndReturn([this](std::size_t i) { return m_fleet.plan(i).dataCentre == 1; });
         else if (m_options.fault == "watcher-loss")
-            killAndReturn([this](std::size_t i) { return m_fleet.plan(i).dataCentre == 1 && isRelay(i); });
+            killAndReturn(
+                [this](std::size_t i) { return m_fleet.plan(i).dataCentre == 1 && isRelay(i); });
         else if (m_options.fault == "platform-outage")
             platformOutage();
         else if (m_options.fault == "partition")
@@ -300,8 +311,8 @@
                 continue;
             if (event.value().kind == EventKind::DaemonStarted)
                 life.startedMs = event.value().wall.ms;
-            const bool applied
-                = event.value().kind == EventKind::VersionApplied || event.value().kind == EventKind::SnapshotTaken;
+            const bool applied = event.value().kind == EventKind::VersionApplied
+                                 || event.value().kind == EventKind::SnapshotTaken;
             if (applied)
                 takeApplied(life, event.value());
         }
@@ -311,7 +322,8 @@
 
     void takeApplied(Life &life, const Event &event)
     {
-        const Revision revision = std::strtoull(event.subject.c_str() + std::string("version ").size(), nullptr, 10);
+        const Revision revision
+            = std::strtoull(event.subject.c_str() + std::string("version ").size(), nullptr, 10);
         const bool back = !life.applied.empty() && revision <= life.applied.back().second;
         m_reverted += back ? 1 : 0;
         const auto known = m_digests.find(revision);
@@ -347,18 +359,21 @@
                 return 1;
             entries[entry.value().entry.name] = entry.value();
         }
-        const auto built = Configuration::build(shown.value("revision", Revision(0)), std::move(entries));
+        const auto built
+            = Configuration::build(shown.value("revision", Revision(0)), std::move(entries));
         return built && hex64(built.value()->digest()) == shown.value("digest", "") ? 0 : 1;
     }
 
-    /** Milliseconds from each acceptance to each daemon's application, for daemons that lived through it. */
+    /** Milliseconds from each acceptance to each daemon's application, for daemons that lived
+     * through it. */
     std::vector<double> convergences()
     {
         std::vector<double> all;
         for (const AcceptedAt &change : m_accepted) {
             for (const Life &life : m_lives) {
-                const auto at = std::find_if(life.applied.begin(), life.applied.end(),
-                                             [&](const auto &one) { return one.second >= change.revision; });
+                const auto at
+                    = std::find_if(life.applied.begin(), life.applied.end(),
+                                   [&](const auto &one) { return one.second >= change.revision; });
                 if (at == life.applied.end())
                     continue;
                 const std::int64_t from = std::max(change.wallMs, life.startedMs);
@@ -388,13 +403,16 @@
         std::map<std::string, double> byKind;
         for (std::size_t i = 0; i < m_fleet.size(); i++) {
             rss = std::max(rss, m_after[i].usage.rssMegabytes);
-            const bool same = m_before[i].valid && m_after[i].valid && m_before[i].incarnation == m_after[i].incarnation;
+            const bool same = m_before[i].valid && m_after[i].valid
+                              && m_before[i].incarnation == m_after[i].incarnation;
             if (!same)
                 continue;
             bytes.push_back((m_after[i].bytes - m_before[i].bytes) / m_spanSeconds);
-            cpu.push_back(100.0 * (m_after[i].usage.cpuSeconds - m_before[i].usage.cpuSeconds) / m_spanSeconds);
+            cpu.push_back(100.0 * (m_after[i].usage.cpuSeconds - m_before[i].usage.cpuSeconds)
+                          / m_spanSeconds);
             for (const auto &kind : m_after[i].bytesByKind)
-                byKind[kind.first] += (kind.second - m_before[i].bytesByKind[kind.first]) / m_spanSeconds;
+                byKind[kind.first]
+                    += (kind.second - m_before[i].bytesByKind[kind.first]) / m_spanSeconds;
         }
         for (auto &kind : byKind)
             kind.second /= std::max<double>(static_cast<double>(bytes.size()), 1);
@@ -405,7 +423,8 @@
             return values.empty() ? 0.0 : sum / static_cast<double>(values.size());
         };
         const auto rate = [&](const char *key) {
-            return (m_platformAfter.value(key, 0.0) - m_platformBefore.value(key, 0.0)) / m_spanSeconds;
+            return (m_platformAfter.value(key, 0.0) - m_platformBefore.value(key, 0.0))
+                   / m_spanSeconds;
         };
         const std::vector<double> times = convergences();
         std::cout << Json{{"daemons", m_options.daemons},
@@ -416,12 +435,18 @@
                           {"baseline", m_options.direct ? "direct" : "none"},
                           {"seconds", m_spanSeconds},
                           {"convergence_ms",
-                           {{"p50", quantileOf(times, 0.5)}, {"p99", quantileOf(times, 0.99)}, {"max", quantileOf(times, 1)}}},
-                          {"control_bytes_per_second", {{"mean", mean(bytes)}, {"max", quantileOf(bytes, 1)}}},
+                           {{"p50", quantileOf(times, 0.5)},
+                            {"p99", quantileOf(times, 0.99)},
+                            {"max", quantileOf(times, 1)}}},
+                          {"control_bytes_per_second",
+                           {{"mean", mean(bytes)}, {"max", quantileOf(bytes, 1)}}},
                           {"control_bytes_by_kind", byKind},
                           {"platform_calls_per_second",
-                           {{"reads", rate("reads")}, {"writes", rate("writes")}, {"throttled", rate("throttled")}}},
-                          {"cpu_percent_of_core", {{"mean", mean(cpu)}, {"max", quantileOf(cpu, 1)}}},
+                           {{"reads", rate("reads")},
+                            {"writes", rate("writes")},
+                            {"throttled", rate("throttled")}}},
+                          {"cpu_percent_of_core",
+                           {{"mean", mean(cpu)}, {"max", quantileOf(cpu, 1)}}},
                           {"rss_megabytes", {{"max", rss}}},
                           {"behind", behind()},
                           {"reverted", m_reverted.load()},
@@ -455,19 +480,24 @@
 
 int runDistributionCommand(int argc, char **argv)
 {
-    cxxopts::Options options("cornelwell-bench distribution",
-                             "Real daemons on loopback against the stand-in platform; prints one JSON object");
+    cxxopts::Options options(
+        "cornelwell-bench distribution",
+        "Real daemons on loopback against the stand-in platform; prints one JSON object");
     auto add = options.add_options();
-    add("daemons", "Daemons, in three data centres", cxxopts::value<unsigned>()->default_value("50"));
-    add("changes", "Changes, spread over the measurement", cxxopts::value<unsigned>()->default_value("10"));
-    add("churn", "Daemons killed and started again in a second", cxxopts::value<double>()->default_value("0"));
+    add("daemons", "Daemons, in three data centres",
+        cxxopts::value<unsigned>()->default_value("50"));
+    add("changes", "Changes, spread over the measurement",
+        cxxopts::value<unsigned>()->default_value("10"));
+    add("churn", "Daemons killed and started again in a second",
+        cxxopts::value<double>()->default_value("0"));
     add("seconds", "Length of the measurement", cxxopts::value<double>()->default_value("15"));
     add("fault", "none, herd, platform-outage, watcher-loss or partition",
         cxxopts::value<std::string>()->default_value("none"));
     add("baseline", "none, or direct: every daemon watches the platform",
         cxxopts::value<std::string>()->default_value("none"));
     add("seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"));
-    add("net", "Second number of the loopback addresses", cxxopts::value<unsigned>()->default_value("21"));
+    add("net", "Second number of the loopback addresses",
+        cxxopts::value<unsigned>()->default_value("21"));
     add("json", "Prints JSON; always so");
     add("h,help", "Help");
     const auto parsed = options.parse(argc, argv);
@@ -484,9 +514,11 @@
     wanted.direct = parsed["baseline"].as<std::string>() == "direct";
     wanted.seed = parsed["seed"].as<std::uint64_t>();
     wanted.net = parsed["net"].as<unsigned>();
-    const std::set<std::string> faults = {"none", "herd", "platform-outage", "watcher-loss", "partition"};
+    const std::set<std::string> faults
+        = {"none", "herd", "platform-outage", "watcher-loss", "partition"};
     if (faults.count(wanted.fault) == 0 || wanted.daemons == 0) {
-        std::cerr << "--fault is none, herd, platform-outage, watcher-loss or partition; --daemons at least 1\n";
+        std::cerr << "--fault is none, herd, platform-outage, watcher-loss or partition; --daemons "
+                     "at least 1\n";
         return 2;
     }
     return Experiment(wanted).run();
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::milliseconds POLL(50); ///< Pause between looks at processes.
 constexpr Duration FETCH_TIMEOUT = {4000};    ///< Longest wait for an answer.
 constexpr double KILOBYTES_PER_MEGABYTE = 1024.0;
-constexpr unsigned SERVERS_PER_NET = 200;     ///< Servers under one third number of the address.
+constexpr unsigned SERVERS_PER_NET = 200; ///< Servers under one third number of the address.
 
 std::string ownFolder()
 {
@@ -112,7 +112,8 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     const std::string path = m_folder + "/" + log + ".log";
-    posix_spawn_file_actions_addopen(&actions, 1, path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_addopen(&actions, 1, path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                     0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     pid_t pid = -1;
     if (posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ) != 0)
@@ -134,7 +135,9 @@
 
 void Fleet::startPlatform()
 {
-    m_platform = spawn({m_binaries + "/cornelwell-standin", "platform", "--listen", formatEndpoint(platform())}, "platform");
+    m_platform = spawn(
+        {m_binaries + "/cornelwell-standin", "platform", "--listen", formatEndpoint(platform())},
+        "platform");
     for (int i = 0; i < 100 && fetch(platform(), "/control").empty(); i++)
         std::this_thread::sleep_for(POLL);
 }
@@ -144,8 +147,9 @@
     Server server;
     server.plan = plan;
     const std::size_t index = m_servers.size();
-    server.address = "127." + std::to_string(m_net) + "." + std::to_string(1 + index / SERVERS_PER_NET) + "."
-        + std::to_string(1 + index % SERVERS_PER_NET);
+    server.address = "127." + std::to_string(m_net) + "."
+                     + std::to_string(1 + index / SERVERS_PER_NET) + "."
+                     + std::to_string(1 + index % SERVERS_PER_NET);
     m_servers.push_back(server);
     std::ofstream file(m_folder + "/" + id(index) + ".json");
     file << settingsOf(index);
@@ -154,25 +158,29 @@
 
 std::string Fleet::id(std::size_t server) const
 {
-    return "dc-" + std::to_string(m_servers[server].plan.dataCentre) + "-s" + std::to_string(server);
+    return "dc-" + std::to_string(m_servers[server].plan.dataCentre) + "-s"
+           + std::to_string(server);
 }
 
 std::string Fleet::settingsOf(std::size_t index) const
 {
     const Server &server = m_servers[index];
     const ServerPlan &plan = server.plan;
-    nlohmann::json settings = {{"id", id(index)},
-                               {"region", "bench"},
-                               {"data_centre", "dc-" + std::to_string(plan.dataCentre)},
-                               {"address", server.address},
-                               {"ports", {{"call", 7101}, {"relay", 7102}, {"peer", 7103}, {"admin", 7104}}},
-                               {"platform", {{"addresses", {formatEndpoint(platform())}}, {"direct", plan.direct ? 1 : 0}}},
-                               {"timeline", {{"events", 20000}}},
-                               {"experiment", {{"cuts", 1}}}};
+    nlohmann::json settings
+        = {{"id", id(index)},
+           {"region", "bench"},
+           {"data_centre", "dc-" + std::to_string(plan.dataCentre)},
+           {"address", server.address},
+           {"ports", {{"call", 7101}, {"relay", 7102}, {"peer", 7103}, {"admin", 7104}}},
+           {"platform",
+            {{"addresses", {formatEndpoint(platform())}}, {"direct", plan.direct ? 1 : 0}}},
+           {"timeline", {{"events", 20000}}},
+           {"experiment", {{"cuts", 1}}}};
     if (!plan.service.empty())
-        settings["backend"] = {{"service", plan.service}, {"address", formatEndpoint(backend(index))},
-                               {"slots", plan.slots},     {"queue", plan.queue},
-                               {"connections", 130},      {"warm_up_ms", 1000}};
+        settings["backend"]
+            = {{"service", plan.service}, {"address", formatEndpoint(backend(index))},
+               {"slots", plan.slots},     {"queue", plan.queue},
+               {"connections", 130},      {"warm_up_ms", 1000}};
     for (const std::string &service : plan.calls)
         settings["calls"].push_back(service);
     if (!plan.extra.empty())
@@ -182,16 +190,18 @@
 
 void Fleet::startDaemon(std::size_t server)
 {
-    m_servers[server].daemon
-        = spawn({m_binaries + "/cornelwell", "daemon", "--settings", m_folder + "/" + id(server) + ".json"}, id(server));
+    m_servers[server].daemon = spawn(
+        {m_binaries + "/cornelwell", "daemon", "--settings", m_folder + "/" + id(server) + ".json"},
+        id(server));
 }
 
 void Fleet::startBackend(std::size_t server)
 {
     const ServerPlan &plan = m_servers[server].plan;
     m_servers[server].backend
-        = spawn({m_binaries + "/cornelwell-standin", "backend", "--listen", formatEndpoint(backend(server)), "--id",
-                 id(server), "--slots", std::to_string(plan.slots), "--work-ms", std::to_string(plan.workMs)},
+        = spawn({m_binaries + "/cornelwell-standin", "backend", "--listen",
+                 formatEndpoint(backend(server)), "--id", id(server), "--slots",
+                 std::to_string(plan.slots), "--work-ms", std::to_string(plan.workMs)},
                 id(server) + "-backend");
 }
 
@@ -244,7 +254,8 @@
             if (!daemonRuns(i))
                 continue;
             running++;
-            const nlohmann::json status = nlohmann::json::parse(fetch(admin(i), "/status"), nullptr, false);
+            const nlohmann::json status
+                = nlohmann::json::parse(fetch(admin(i), "/status"), nullptr, false);
             const bool ready = status.is_object() && status.value("state", "") == "ready";
             if (!ready)
                 break;
@@ -254,7 +265,8 @@
         for (std::size_t i = 0; all && i < m_servers.size(); i++) {
             if (!daemonRuns(i))
                 continue;
-            const nlohmann::json status = nlohmann::json::parse(fetch(admin(i), "/status"), nullptr, false);
+            const nlohmann::json status
+                = nlohmann::json::parse(fetch(admin(i), "/status"), nullptr, false);
             all = status.is_object() && status.value("members_living", std::size_t(0)) == running;
         }
         if (all)
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -1,4 +1,5 @@
-/** @file fleet.h Real processes on loopback: the stand-in platform, daemons, stand-in backend servers. */
+/** @file fleet.h Real processes on loopback: the stand-in platform, daemons, stand-in backend
+ * servers. */
 #pragma once
 
 #include "base/identifier_type.h"
@@ -15,28 +16,29 @@
 /** One server of the fleet. */
 struct ServerPlan
 {
-    std::string service;             ///< Service of its backend server; empty for none.
-    unsigned dataCentre = 1;         ///< Number of its data centre, from 1.
-    unsigned slots = 8;              ///< Requests at once.
-    unsigned queue = 32;             ///< Requests that wait.
-    std::int64_t workMs = 5;         ///< Time of a request.
-    std::vector<std::string> calls;  ///< Services that it calls.
-    bool direct = false;             ///< Watches the platform on its own.
-    std::string extra;               ///< More settings, as JSON members with a leading comma.
+    std::string service;            ///< Service of its backend server; empty for none.
+    unsigned dataCentre = 1;        ///< Number of its data centre, from 1.
+    unsigned slots = 8;             ///< Requests at once.
+    unsigned queue = 32;            ///< Requests that wait.
+    std::int64_t workMs = 5;        ///< Time of a request.
+    std::vector<std::string> calls; ///< Services that it calls.
+    bool direct = false;            ///< Watches the platform on its own.
+    std::string extra;              ///< More settings, as JSON members with a leading comma.
 };
 
 /** Processor time and memory of a process. */
 struct ProcessUsage
 {
-    double cpuSeconds = 0;  ///< User and system time so far.
-    double rssMegabytes = 0;///< Resident memory now.
+    double cpuSeconds = 0;   ///< User and system time so far.
+    double rssMegabytes = 0; ///< Resident memory now.
 };
 
 /** Starts, kills and looks at processes; ends those it started, by their ids, when destroyed. */
 class Fleet
 {
 public:
-    /** @param net Second number of the loopback addresses, so that two fleets can stand side by side. */
+    /** @param net Second number of the loopback addresses, so that two fleets can stand side by
+     * side. */
     explicit Fleet(unsigned net);
     ~Fleet();
     Fleet(const Fleet &) = delete;
@@ -67,15 +69,18 @@
     /** Waits until all running daemons know the whole fleet and their backend servers are ready. */
     bool waitSettled(double seconds);
 
-    std::size_t size() const { return m_servers.size(); }       ///< Number of servers.
-    bool daemonRuns(std::size_t server) const;                  ///< True when its daemon was started and not killed.
-    Endpoint platform() const;                                  ///< The platform.
-    Endpoint call(std::size_t server) const;                    ///< Callers' address.
-    Endpoint admin(std::size_t server) const;                   ///< Admin address.
-    Endpoint backend(std::size_t server) const;                 ///< Address of the backend server.
-    std::string id(std::size_t server) const;                   ///< Name.
-    const ServerPlan &plan(std::size_t server) const { return m_servers[server].plan; } ///< Its plan.
-    ProcessUsage usage(std::size_t server) const;               ///< Usage of its daemon.
+    std::size_t size() const { return m_servers.size(); } ///< Number of servers.
+    bool daemonRuns(std::size_t server) const; ///< True when its daemon was started and not killed.
+    Endpoint platform() const;                 ///< The platform.
+    Endpoint call(std::size_t server) const;   ///< Callers' address.
+    Endpoint admin(std::size_t server) const;  ///< Admin address.
+    Endpoint backend(std::size_t server) const; ///< Address of the backend server.
+    std::string id(std::size_t server) const;   ///< Name.
+    const ServerPlan &plan(std::size_t server) const
+    {
+        return m_servers[server].plan;
+    }                                             ///< Its plan.
+    ProcessUsage usage(std::size_t server) const; ///< Usage of its daemon.
 
 private:
     struct Server
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -19,7 +19,7 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr Duration CALL_MARGIN = {1000};          ///< A caller waits this much longer than its patience.
+constexpr Duration CALL_MARGIN = {1000}; ///< A caller waits this much longer than its patience.
 constexpr std::chrono::milliseconds START_IN(100); ///< Time for the threads to get ready.
 constexpr double MICROSECONDS_PER_MILLISECOND = 1000.0;
 
@@ -76,10 +76,12 @@
 bool isOwnAnswer(const HttpResponse &response, const std::string &token, const std::string &body)
 {
     const nlohmann::json answer = nlohmann::json::parse(response.body, nullptr, false);
-    return answer.is_object() && answer.value("token", "") == token && answer.value("echo", "") == body;
+    return answer.is_object() && answer.value("token", "") == token
+           && answer.value("echo", "") == body;
 }
 
-void judge(CallRecord &record, const HttpOutcome &outcome, const std::string &token, const std::string &body)
+void judge(CallRecord &record, const HttpOutcome &outcome, const std::string &token,
+           const std::string &body)
 {
     record.answered = record.notRun = record.unknown = record.failed = false;
     if (outcome.failure != HttpFailure::None) {
@@ -110,7 +112,8 @@
         for (std::size_t i = next++; i < arrivals.size(); i = next++) {
             const LoadCall &call = plan.calls[arrivals[i].kind];
             const auto intended = start
-                + std::chrono::microseconds(static_cast<std::int64_t>(arrivals[i].atMs * MICROSECONDS_PER_MILLISECOND));
+                                  + std::chrono::microseconds(static_cast<std::int64_t>(
+                                      arrivals[i].atMs * MICROSECONDS_PER_MILLISECOND));
             std::this_thread::sleep_until(intended);
             const std::string token = plan.prefix + "-" + std::to_string(i);
             const HttpRequest request = requestOf(call, token, call.keyed);
@@ -121,12 +124,14 @@
             for (unsigned tries = 0; tries <= call.repeats; tries++) {
                 HttpBounds bounds;
                 bounds.deadline = clock.now() + call.patience + CALL_MARGIN;
-                judge(record, client.execute(plan.targets[target], request, bounds), token, request.body);
+                judge(record, client.execute(plan.targets[target], request, bounds), token,
+                      request.body);
                 if (!record.unknown && !record.failed)
                     break;
                 target = (target + 1) % plan.targets.size();
             }
-            const auto spent = std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - intended);
+            const auto spent = std::chrono::duration_cast<std::chrono::microseconds>(
+                SteadyClock::now() - intended);
             record.latencyMs = static_cast<double>(spent.count()) / MICROSECONDS_PER_MILLISECOND;
         }
     };
@@ -142,8 +147,10 @@
 {
     if (values.empty())
         return 0;
-    const auto rank = static_cast<std::size_t>(quantile * static_cast<double>(values.size() - 1) + 0.5);
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank), values.end());
+    const auto rank
+        = static_cast<std::size_t>(quantile * static_cast<double>(values.size() - 1) + 0.5);
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank),
+                     values.end());
     return values[rank];
 }
 
--- a/bench/load.h
+++ b/bench/load.h
@@ -1,4 +1,5 @@
-/** @file load.h Open-loop load: seeded arrivals, latency from the intended time, answers checked. */
+/** @file load.h Open-loop load: seeded arrivals, latency from the intended time, answers checked.
+ */
 #pragma once
 
 #include "base/clock.h"
@@ -15,14 +16,15 @@
 /** One kind of call in a load. */
 struct LoadCall
 {
-    std::string label;       ///< Name in the results.
-    std::string method;      ///< HTTP method.
-    std::string path;        ///< Path.
-    unsigned weight = 1;     ///< Share of the calls.
-    std::int64_t workMs = 0; ///< Time that the stand-in is asked to take; 0 for its own.
+    std::string label;          ///< Name in the results.
+    std::string method;         ///< HTTP method.
+    std::string path;           ///< Path.
+    unsigned weight = 1;        ///< Share of the calls.
+    std::int64_t workMs = 0;    ///< Time that the stand-in is asked to take; 0 for its own.
     Duration patience = {2000}; ///< A call that takes longer does not count as good.
-    bool keyed = false;      ///< Carries an Idempotency-Key of its own.
-    unsigned repeats = 0;    ///< Sends of the same request by an impatient caller when the outcome is open.
+    bool keyed = false;         ///< Carries an Idempotency-Key of its own.
+    unsigned repeats
+        = 0; ///< Sends of the same request by an impatient caller when the outcome is open.
 };
 
 /** A load. */
@@ -40,15 +42,15 @@
 /** What became of one call. */
 struct CallRecord
 {
-    std::size_t kind = 0;       ///< Index of its kind.
-    double latencyMs = 0;       ///< From the intended time to the end of the answer.
-    bool answered = false;      ///< The whole answer, its own, came.
-    bool wrong = false;         ///< An answer that is not its own, or not whole.
-    bool notRun = false;        ///< Told that it was not run.
-    bool unknown = false;       ///< Told that the outcome is unknown.
-    bool failed = false;        ///< No usable answer at all.
-    int code = 0;               ///< Result code told.
-    std::string key;            ///< Its key, when it has one.
+    std::size_t kind = 0;  ///< Index of its kind.
+    double latencyMs = 0;  ///< From the intended time to the end of the answer.
+    bool answered = false; ///< The whole answer, its own, came.
+    bool wrong = false;    ///< An answer that is not its own, or not whole.
+    bool notRun = false;   ///< Told that it was not run.
+    bool unknown = false;  ///< Told that the outcome is unknown.
+    bool failed = false;   ///< No usable answer at all.
+    int code = 0;          ///< Result code told.
+    std::string key;       ///< Its key, when it has one.
 };
 
 /** @return the records of all calls, in order of arrival. */
@@ -57,16 +59,16 @@
 /** Counts over some records. */
 struct LoadSummary
 {
-    std::size_t sent = 0;         ///< Calls.
-    std::size_t answered = 0;     ///< With their own whole answer.
-    std::size_t good = 0;         ///< Answered within patience.
-    std::size_t notRun = 0;       ///< Told not run.
-    std::size_t unknown = 0;      ///< Told unknown.
-    std::size_t failed = 0;       ///< Without a usable answer.
-    std::size_t wrong = 0;        ///< With somebody else's or a cut answer.
-    double p50Ms = 0;             ///< Latency of the answered ones.
-    double p99Ms = 0;             ///< Latency of the answered ones.
-    double p999Ms = 0;            ///< Latency of the answered ones.
+    std::size_t sent = 0;     ///< Calls.
+    std::size_t answered = 0; ///< With their own whole answer.
+    std::size_t good = 0;     ///< Answered within patience.
+    std::size_t notRun = 0;   ///< Told not run.
+    std::size_t unknown = 0;  ///< Told unknown.
+    std::size_t failed = 0;   ///< Without a usable answer.
+    std::size_t wrong = 0;    ///< With somebody else's or a cut answer.
+    double p50Ms = 0;         ///< Latency of the answered ones.
+    double p99Ms = 0;         ///< Latency of the answered ones.
+    double p999Ms = 0;        ///< Latency of the answered ones.
 };
 
 /** @return the summary of the records of one kind, or of all. */
--- a/bench/load_command.cpp
+++ b/bench/load_command.cpp
@@ -13,18 +13,23 @@
 
 int runLoadCommand(int argc, char **argv)
 {
-    cxxopts::Options options("cornelwell-bench load", "Calls against running daemons; prints one JSON object");
+    cxxopts::Options options("cornelwell-bench load",
+                             "Calls against running daemons; prints one JSON object");
     auto add = options.add_options();
-    add("targets", "Call addresses of daemons", cxxopts::value<std::vector<std::string>>(), "IP:PORT,...");
+    add("targets", "Call addresses of daemons", cxxopts::value<std::vector<std::string>>(),
+        "IP:PORT,...");
     add("method", "HTTP method", cxxopts::value<std::string>()->default_value("GET"));
     add("path", "Path", cxxopts::value<std::string>()->default_value("/"));
     add("rate", "Calls a second", cxxopts::value<double>()->default_value("100"));
     add("seconds", "Length", cxxopts::value<double>()->default_value("5"));
     add("threads", "Callers at once", cxxopts::value<unsigned>()->default_value("32"));
-    add("patience-ms", "Patience of a caller", cxxopts::value<std::int64_t>()->default_value("2000"));
+    add("patience-ms", "Patience of a caller",
+        cxxopts::value<std::int64_t>()->default_value("2000"));
     add("seed", "Seed of the arrivals", cxxopts::value<std::uint64_t>()->default_value("1"));
-    add("prefix", "Beginning of tokens and keys", cxxopts::value<std::string>()->default_value("load"));
-    add("repeats", "Repeats by a caller whose outcome is open", cxxopts::value<unsigned>()->default_value("0"));
+    add("prefix", "Beginning of tokens and keys",
+        cxxopts::value<std::string>()->default_value("load"));
+    add("repeats", "Repeats by a caller whose outcome is open",
+        cxxopts::value<unsigned>()->default_value("0"));
     add("keyed", "Each call carries an Idempotency-Key");
     add("h,help", "Help");
     const auto parsed = options.parse(argc, argv);
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
-/** @file main.cpp The load and experiment tool. A test program: it starts the processes it measures. */
+/** @file main.cpp The load and experiment tool. A test program: it starts the processes it
+ * measures. */
 #include "bench_internal.h"
 
 #include <cxxopts.hpp>
--- a/src/admission/tests/admission_test.cpp
+++ b/src/admission/tests/admission_test.cpp
@@ -38,8 +38,10 @@
     Admission admission = gate(1, 100);
     CHECK(admission.ask(RequestClass::Normal, NOW, NOW).code == ResultCode::CallDeadline);
     admission.ask(RequestClass::Normal, FAR, NOW);
-    CHECK(admission.ask(RequestClass::Normal, NOW + milliseconds(15), NOW).code == ResultCode::CallDeadline);
-    CHECK(admission.ask(RequestClass::Normal, NOW + milliseconds(25), NOW).verdict == AdmissionVerdict::Wait);
+    CHECK(admission.ask(RequestClass::Normal, NOW + milliseconds(15), NOW).code
+          == ResultCode::CallDeadline);
+    CHECK(admission.ask(RequestClass::Normal, NOW + milliseconds(25), NOW).verdict
+          == AdmissionVerdict::Wait);
     CHECK(admission.expire(NOW + milliseconds(20)).size() == 1);
     CHECK(admission.waiting() == 0);
 }
@@ -89,8 +91,9 @@
         for (int step = 0; step < 400; step++) {
             now = now + milliseconds(static_cast<std::int64_t>(random.below(5)));
             if (random.chance(500)) {
-                const auto answer = admission.ask(static_cast<RequestClass>(random.below(REQUEST_CLASS_COUNT)),
-                                                  now + milliseconds(static_cast<std::int64_t>(random.below(80))), now);
+                const auto answer = admission.ask(
+                    static_cast<RequestClass>(random.below(REQUEST_CLASS_COUNT)),
+                    now + milliseconds(static_cast<std::int64_t>(random.below(80))), now);
                 running += answer.verdict == AdmissionVerdict::Run ? 1 : 0;
                 if (answer.verdict == AdmissionVerdict::Wait)
                     waiting.push_back(answer.ticket);
--- a/src/base/network_cuts.h
+++ b/src/base/network_cuts.h
@@ -1,4 +1,5 @@
-/** @file network_cuts.h Addresses from which an experiment cuts this process off. Empty in service. */
+/** @file network_cuts.h Addresses from which an experiment cuts this process off. Empty in service.
+ */
 #pragma once
 
 #include <mutex>
--- a/src/base/tests/base_test.cpp
+++ b/src/base/tests/base_test.cpp
@@ -16,8 +16,8 @@
 {
     CHECK(parseEndpoint("127.1.2.3:7101").value() == Endpoint{"127.1.2.3", 7101});
     CHECK(formatEndpoint(parseEndpoint("[::1]:80").value()) == "[::1]:80");
-    for (const char *bad : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:8x",
-                            ":80", "256.0.0.1:80"}) {
+    for (const char *bad : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
+                            "127.0.0.1:65536", "127.0.0.1:8x", ":80", "256.0.0.1:80"}) {
         INFO(bad);
         CHECK(parseEndpoint(bad).error().code == ResultCode::AddressInvalid);
     }
@@ -29,7 +29,8 @@
     CHECK(parseJson(R"({"a":{"b":1},"c":{"b":2}})", options).has_value());
     CHECK(parseJson(R"({"a":1,"a":2})", options).error().detail == "key 'a' stands twice");
     CHECK_FALSE(parseJson(std::string(100000, '['), options).has_value());
-    CHECK_FALSE(parseJson("{\"a\":" + std::string(40, '[') + std::string(40, ']') + "}", options).has_value());
+    CHECK_FALSE(parseJson("{\"a\":" + std::string(40, '[') + std::string(40, ']') + "}", options)
+                    .has_value());
     options.bytesMax = 4;
     CHECK_FALSE(parseJson("[1,2,3]", options).has_value());
 }
--- a/src/catalogue/entry_func.cpp
+++ b/src/catalogue/entry_func.cpp
@@ -23,6 +23,7 @@
 constexpr std::int64_t PATIENCE_MAX_MS = 600000;   ///< Longest patience.
 constexpr std::int64_t RATE_MAX = 10000000;        ///< Greatest voted rate per second.
 constexpr std::int64_t CONCURRENCY_MAX = 1000000;  ///< Greatest voted concurrency.
+constexpr std::int64_t SERVERS_MAX = 10000;        ///< Greatest number of servers of a service.
 
 /** Names and weights of the request classes. */
 struct ClassRow
@@ -45,7 +46,7 @@
     = {"name",        "owner",  "service",    "method",       "path",     "class",
        "patience_ms", "limits", "idempotent", "on_behalf_of", "provides", "resources"};
 
-constexpr const char *LIMIT_KEYS[] = {"rate_per_second", "concurrency"};
+constexpr const char *LIMIT_KEYS[] = {"rate_per_second", "concurrency", "servers"};
 
 template<std::size_t N>
 Result<void> checkKeys(const Json &object, const char *const (&keys)[N], const std::string &prefix)
@@ -151,6 +152,13 @@
             most, readNumber(value, "concurrency", 1, CONCURRENCY_MAX, "/limits/concurrency"));
         limits.concurrency = static_cast<std::uint32_t>(most);
     }
+    if (limits.ratePerSecond == 0 && limits.concurrency == 0)
+        return fail(ResultCode::EntryMissingKey, "give rate_per_second or concurrency", "/limits");
+    if (!value.contains("servers"))
+        return fail(ResultCode::EntryMissingKey,
+                    "required: the servers among which the limits are split", "/limits/servers");
+    BOOST_OUTCOME_TRY(servers, readNumber(value, "servers", 1, SERVERS_MAX, "/limits/servers"));
+    limits.servers = static_cast<std::uint32_t>(servers);
     return limits;
 }
 
@@ -255,13 +263,13 @@
     BOOST_OUTCOME_TRY(pathValue, readPath(object));
     entry.path = std::move(pathValue);
     BOOST_OUTCOME_TRY(requestClassValue, readClass(object));
-    entry.requestClass = std::move(requestClassValue);
+    entry.requestClass = requestClassValue;
     if (!object.contains("patience_ms"))
         return fail(ResultCode::EntryMissingKey, "required", "/patience_ms");
     BOOST_OUTCOME_TRY(patience, readNumber(object, "patience_ms", PATIENCE_MIN_MS, PATIENCE_MAX_MS,
                                            "/patience_ms"));
     BOOST_OUTCOME_TRY(limitsValue, readLimits(object));
-    entry.limits = std::move(limitsValue);
+    entry.limits = limitsValue;
     if (!object.contains("idempotent"))
         return fail(ResultCode::EntryMissingKey, "required", "/idempotent");
     if (!object["idempotent"].is_boolean())
@@ -291,6 +299,8 @@
                    {"idempotent", entry.idempotent}};
     if (entry.limits.ratePerSecond != 0)
         object["limits"]["rate_per_second"] = entry.limits.ratePerSecond;
+    if (entry.limits.servers != 0)
+        object["limits"]["servers"] = entry.limits.servers;
     if (entry.limits.concurrency != 0)
         object["limits"]["concurrency"] = entry.limits.concurrency;
     if (!entry.onBehalfOf.empty())
@@ -309,7 +319,7 @@
         change.revision = object.at("revision").get<Revision>();
         change.id = object.at("id").get<std::string>();
         BOOST_OUTCOME_TRY(kindValue, changeKindFromName(object.at("kind").get<std::string>()));
-        change.kind = std::move(kindValue);
+        change.kind = kindValue;
         change.base = object.at("base").get<Revision>();
         change.author = object.at("author").get<std::string>();
         change.vote = object.at("vote").get<std::string>();
--- a/src/catalogue/entry_type.h
+++ b/src/catalogue/entry_type.h
@@ -33,6 +33,7 @@
 {
     std::uint32_t ratePerSecond = 0; ///< Requests started in a second; 0 for no limit.
     std::uint32_t concurrency = 0;   ///< Requests running at once; 0 for no limit.
+    std::uint32_t servers = 0;       ///< Numbered servers among which both are split.
 };
 
 /** One kind of request and all that was voted about it. */
--- a/src/catalogue/tests/configuration_test.cpp
+++ b/src/catalogue/tests/configuration_test.cpp
@@ -1,4 +1,5 @@
-/** @file configuration_test.cpp Versions: references, routes, order of changes, objects of the platform. */
+/** @file configuration_test.cpp Versions: references, routes, order of changes, objects of the
+ * platform. */
 #include "catalogue/configuration.h"
 #include "catalogue/head_func.h"
 #include "sample_entries.h"
@@ -20,10 +21,11 @@
 
 TEST_CASE("requests find their entry by method and segments", "[catalogue]")
 {
-    const auto version = Configuration::empty()
-                             ->after({numbered(1, ChangeKind::Propose, sampleEntry("lots")),
-                                      numbered(2, ChangeKind::Propose, sampleCommitment("commitments"))})
-                             .value();
+    const auto version
+        = Configuration::empty()
+              ->after({numbered(1, ChangeKind::Propose, sampleEntry("lots")),
+                       numbered(2, ChangeKind::Propose, sampleCommitment("commitments"))})
+              .value();
     CHECK(version->match("GET", "/lots/7")->entry.name.text() == "lots");
     CHECK(version->match("GET", "/lots/7/8") == nullptr);
     CHECK(version->match("GET", "/lots/") == nullptr);
@@ -45,25 +47,32 @@
     Entry same = sampleEntry("other");
     same.path = "/*/7";
     CHECK(Configuration::empty()
-              ->after({numbered(1, ChangeKind::Propose, sampleEntry("lots")), numbered(2, ChangeKind::Propose, same)})
+              ->after({numbered(1, ChangeKind::Propose, sampleEntry("lots")),
+                       numbered(2, ChangeKind::Propose, same)})
               .error()
               .code
           == ResultCode::EntryAmbiguousRoute);
     Entry provider = sampleEntry("provider");
     provider.provides = {ResourceName("lots")};
     const auto both = Configuration::empty()
-                          ->after({numbered(1, ChangeKind::Propose, provider), numbered(2, ChangeKind::Propose, needy)})
+                          ->after({numbered(1, ChangeKind::Propose, provider),
+                                   numbered(2, ChangeKind::Propose, needy)})
                           .value();
     CHECK(both->after({numbered(3, ChangeKind::Retire, provider, 1)}).error().code
           == ResultCode::EntryDanglingResource);
     CHECK(both->revision() == 2);
 }
 
-TEST_CASE("changes follow without gaps, and a stale base is a conflict that names the winner", "[catalogue]")
+TEST_CASE("changes follow without gaps, and a stale base is a conflict that names the winner",
+          "[catalogue]")
 {
-    const auto one = Configuration::empty()->after({numbered(1, ChangeKind::Propose, sampleEntry("lots"))}).value();
-    CHECK(one->after({numbered(3, ChangeKind::Retire, sampleEntry("lots"), 1)}).error().code == ResultCode::VersionGap);
-    CHECK(one->after({numbered(1, ChangeKind::Propose, sampleEntry("lots"))}).value()->revision() == 1);
+    const auto one = Configuration::empty()
+                         ->after({numbered(1, ChangeKind::Propose, sampleEntry("lots"))})
+                         .value();
+    CHECK(one->after({numbered(3, ChangeKind::Retire, sampleEntry("lots"), 1)}).error().code
+          == ResultCode::VersionGap);
+    CHECK(one->after({numbered(1, ChangeKind::Propose, sampleEntry("lots"))}).value()->revision()
+          == 1);
     const auto two = one->after({numbered(2, ChangeKind::Amend, sampleEntry("lots"), 1)}).value();
     const auto lost = two->after({numbered(3, ChangeKind::Amend, sampleEntry("lots"), 1)});
     CHECK(lost.error().code == ResultCode::EntryConflict);
@@ -77,7 +86,8 @@
     ConfigurationPtr current = Configuration::empty();
     std::vector<SnapshotChunk> chunks;
     for (int i = 0; i < 150; i++) {
-        Change change = sampleChange(ChangeKind::Propose, sampleEntry("entry-" + std::to_string(i)));
+        Change change
+            = sampleChange(ChangeKind::Propose, sampleEntry("entry-" + std::to_string(i)));
         PreparedChange prepared = prepareChange(head, *current, change).value();
         if (!prepared.chunks.empty())
             chunks = prepared.chunks;
@@ -89,7 +99,8 @@
     std::vector<std::string> texts;
     for (const SnapshotChunk &chunk : chunks)
         texts.push_back(chunk.text);
-    const auto rebuilt = decodeSnapshot(head.snapshotRevision, texts).value()->after(head.changes).value();
+    const auto rebuilt
+        = decodeSnapshot(head.snapshotRevision, texts).value()->after(head.changes).value();
     CHECK(rebuilt->digest() == current->digest());
 }
 
@@ -97,7 +108,8 @@
 {
     CatalogueHead head;
     head.revision = 2;
-    head.changes = {numbered(1, ChangeKind::Propose, sampleEntry("a")), numbered(2, ChangeKind::Propose, sampleEntry("b"))};
+    head.changes = {numbered(1, ChangeKind::Propose, sampleEntry("a")),
+                    numbered(2, ChangeKind::Propose, sampleEntry("b"))};
     const std::string text = encodeHead(head);
     CHECK(decodeHead(text).has_value());
     for (std::size_t cut = 0; cut < text.size(); cut += 7)
--- a/src/catalogue/tests/entry_test.cpp
+++ b/src/catalogue/tests/entry_test.cpp
@@ -11,7 +11,7 @@
 constexpr const char *GOOD = R"({
     "name": "purchase-commitment", "owner": "desk", "service": "order-desk", "method": "POST",
     "path": "/commitments/*/items", "class": "critical", "patience_ms": 3000,
-    "limits": { "rate_per_second": 200, "concurrency": 40 }, "idempotent": false,
+    "limits": { "rate_per_second": 200, "concurrency": 40, "servers": 7 }, "idempotent": false,
     "on_behalf_of": ["intake"], "provides": ["prices"], "resources": ["lots"]
 })";
 
@@ -49,26 +49,29 @@
 TEST_CASE("a bad entry document is refused with code and place", "[catalogue]")
 {
     using C = ResultCode;
-    const std::vector<BadEntry> all = {{"nonsense", C::EntrySyntax, "line 1"},
-                                       {"[]", C::EntryWrongType, "/"},
-                                       {with("colour", 1), C::EntryUnknownKey, "/colour"},
-                                       {without("owner"), C::EntryMissingKey, "/owner"},
-                                       {without("patience_ms"), C::EntryMissingKey, "/patience_ms"},
-                                       {without("idempotent"), C::EntryMissingKey, "/idempotent"},
-                                       {with("idempotent", "no"), C::EntryWrongType, "/idempotent"},
-                                       {with("name", "A B"), C::EntryNameInvalid, "/name"},
-                                       {with("class", "vip"), C::EntryOutOfRange, "/class"},
-                                       {with("patience_ms", 0), C::EntryOutOfRange, "/patience_ms"},
-                                       {with("patience_ms", 1.5), C::EntryWrongType, "/patience_ms"},
-                                       {with("limits", 5), C::EntryWrongType, "/limits"},
-                                       {with("limits", {{"burst", 1}}), C::EntryUnknownKey, "/limits/burst"},
-                                       {with("limits", {{"concurrency", 0}}), C::EntryOutOfRange, "/limits/concurrency"},
-                                       {with("method", "FETCH"), C::EntryPatternInvalid, "/method"},
-                                       {with("path", "commitments"), C::EntryPatternInvalid, "/path"},
-                                       {with("path", "/a//b"), C::EntryPatternInvalid, "/path"},
-                                       {with("path", "/a*"), C::EntryPatternInvalid, "/path"},
-                                       {with("path", "/a?b"), C::EntryPatternInvalid, "/path"},
-                                       {with("resources", {"a", "a"}), C::EntryNameInvalid, "/resources/1"}};
+    const std::vector<BadEntry> all
+        = {{"nonsense", C::EntrySyntax, "line 1"},
+           {"[]", C::EntryWrongType, "/"},
+           {with("colour", 1), C::EntryUnknownKey, "/colour"},
+           {without("owner"), C::EntryMissingKey, "/owner"},
+           {without("patience_ms"), C::EntryMissingKey, "/patience_ms"},
+           {without("idempotent"), C::EntryMissingKey, "/idempotent"},
+           {with("idempotent", "no"), C::EntryWrongType, "/idempotent"},
+           {with("name", "A B"), C::EntryNameInvalid, "/name"},
+           {with("class", "vip"), C::EntryOutOfRange, "/class"},
+           {with("patience_ms", 0), C::EntryOutOfRange, "/patience_ms"},
+           {with("patience_ms", 1.5), C::EntryWrongType, "/patience_ms"},
+           {with("limits", 5), C::EntryWrongType, "/limits"},
+           {with("limits", nlohmann::json::object()), C::EntryMissingKey, "/limits"},
+           {with("limits", {{"concurrency", 5}}), C::EntryMissingKey, "/limits/servers"},
+           {with("limits", {{"burst", 1}}), C::EntryUnknownKey, "/limits/burst"},
+           {with("limits", {{"concurrency", 0}}), C::EntryOutOfRange, "/limits/concurrency"},
+           {with("method", "FETCH"), C::EntryPatternInvalid, "/method"},
+           {with("path", "commitments"), C::EntryPatternInvalid, "/path"},
+           {with("path", "/a//b"), C::EntryPatternInvalid, "/path"},
+           {with("path", "/a*"), C::EntryPatternInvalid, "/path"},
+           {with("path", "/a?b"), C::EntryPatternInvalid, "/path"},
+           {with("resources", {"a", "a"}), C::EntryNameInvalid, "/resources/1"}};
     for (const BadEntry &bad : all) {
         INFO(bad.text);
         const auto result = parseEntry(bad.text);
--- /dev/null
+++ b/src/cli/tests/cli_test.cpp
@@ -0,0 +1,64 @@
+/** @file cli_test.cpp Exit codes of the command line. */
+#include "base/table/result_codes.h"
+#include "cli/cli.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace cornelwell;
+
+namespace {
+
+/** Runs a command with its output caught. */
+struct Run
+{
+    explicit Run(const std::vector<std::string> &words)
+    {
+        std::ostringstream out;
+        std::ostringstream error;
+        auto *const oldOut = std::cout.rdbuf(out.rdbuf());
+        auto *const oldError = std::cerr.rdbuf(error.rdbuf());
+        code = runCommandLine(words);
+        std::cout.rdbuf(oldOut);
+        std::cerr.rdbuf(oldError);
+        output = out.str();
+        errors = error.str();
+    }
+
+    int code;
+    std::string output;
+    std::string errors;
+};
+
+} // namespace
+
+TEST_CASE("commands end with documented exit codes", "[cli]")
+{
+    CHECK(Run({"--help"}).code == EXIT_OK);
+    CHECK(Run({}).code == EXIT_USAGE);
+    CHECK(Run({"dance"}).code == EXIT_USAGE);
+    CHECK(Run({"entry"}).code == EXIT_USAGE);
+    CHECK(Run({"entry", "--help"}).code == EXIT_OK);
+    CHECK(Run({"entry", "propose", "--help"}).output.find("Example:") != std::string::npos);
+    CHECK(Run({"entry", "propose"}).code == EXIT_USAGE);
+    CHECK(Run({"entry", "list", "--colour"}).code == EXIT_USAGE);
+    CHECK(Run({"entry", "list"}).code == EXIT_USAGE);
+    CHECK(Run({"codes", "--output", "json"}).code == EXIT_OK);
+    CHECK(Run({"codes", "--output", "xml"}).code == EXIT_USAGE);
+    CHECK(Run({"version"}).output.find("cornelwell ") == 0);
+    CHECK(Run({"status", "--daemon", "127.9.9.9:1", "--timeout", "100"}).code == EXIT_UNREACHABLE);
+    CHECK(Run({"entry", "list", "--platform", "127.9.9.9:1"}).code == EXIT_UNREACHABLE);
+    CHECK(Run({"settings", "check", "/nonexistent"}).code == EXIT_INVALID);
+}
+
+TEST_CASE("an error says number, place, cause and what to do", "[cli]")
+{
+    const Run run({"settings", "check", "/nonexistent"});
+    CHECK(run.errors.find("100 SettingsUnreadable") != std::string::npos);
+    CHECK(run.errors.find("at: /nonexistent") != std::string::npos);
+    CHECK(run.errors.find("what to do:") != std::string::npos);
+}
--- a/src/control/control_links.cpp
+++ b/src/control/control_links.cpp
@@ -88,7 +88,8 @@
     if (establishedLinks() > 0) {
         // Those that are known to live are linked by the ordinary rules.
         const auto known = [this](const Endpoint &endpoint) { return isLivingPeer(endpoint); };
-        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), known), candidates.end());
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), known),
+                         candidates.end());
     }
     for (const auto &item : m_membership.members()) {
         const bool givenUp
@@ -221,8 +222,8 @@
     const DataCentreId &mine = m_membership.self().dataCentre;
     const std::vector<Endpoint> &listed = m_contacts[mine];
     const std::vector<Endpoint> living = livingContacts();
-    const auto alive = static_cast<std::size_t>(
-        std::count_if(listed.begin(), listed.end(), [this](const Endpoint &e) { return isLivingPeer(e); }));
+    const auto alive = static_cast<std::size_t>(std::count_if(
+        listed.begin(), listed.end(), [this](const Endpoint &e) { return isLivingPeer(e); }));
     const std::size_t enough = std::min(CONTACTS_ALIVE_MIN, living.size());
     // Only a daemon that had the time to find its peers may call the listed ones dead.
     const bool mayJudge = listed.empty() || (m_relayRole && now >= m_roleFrom);
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -63,8 +63,8 @@
     {
         const std::string subject = "version " + std::to_string(apply.configuration->revision());
         const EventKind kind = apply.whole ? EventKind::SnapshotTaken : EventKind::VersionApplied;
-        actions.push_back(
-            RecordEvent{kind, apply.cause, subject, hex64(apply.configuration->digest()), ResultCode::Ok});
+        actions.push_back(RecordEvent{kind, apply.cause, subject,
+                                      hex64(apply.configuration->digest()), ResultCode::Ok});
         actions.push_back(std::move(apply));
     }
     void operator()(ReportRejected &report) const
@@ -412,9 +412,8 @@
         if (!link.peer || now < link.nextHeartbeat)
             continue;
         link.nextHeartbeat = now + m_options.heartbeat;
-        actions.push_back(
-            SendMessage{item.first, HeartbeatMessage{m_distribution.heldRevision(),
-                                                     m_membership.digest()}});
+        actions.push_back(SendMessage{
+            item.first, HeartbeatMessage{m_distribution.heldRevision(), m_membership.digest()}});
     }
     for (const LinkId id : silent) {
         const std::optional<MemberRecord> peer = m_links.at(id).peer;
--- a/src/control/tests/control_schedule_test.cpp
+++ b/src/control/tests/control_schedule_test.cpp
@@ -1,4 +1,5 @@
-/** @file control_schedule_test.cpp Random schedules of faults; the promises about versions hold at each step. */
+/** @file control_schedule_test.cpp Random schedules of faults; the promises about versions hold at
+ * each step. */
 #include "fake_fleet.h"
 #include "sample_entries.h"
 
@@ -95,7 +96,8 @@
 
 } // namespace
 
-TEST_CASE("under random faults no version goes back or is torn, and all daemons end on the newest", "[control]")
+TEST_CASE("under random faults no version goes back or is torn, and all daemons end on the newest",
+          "[control]")
 {
     for (std::uint64_t seed = 1; seed <= SEEDS; seed++)
         runSchedule(seed);
--- a/src/control/tests/control_test.cpp
+++ b/src/control/tests/control_test.cpp
@@ -1,4 +1,5 @@
-/** @file control_test.cpp Distribution and membership of a few daemons under faults, in virtual time. */
+/** @file control_test.cpp Distribution and membership of a few daemons under faults, in virtual
+ * time. */
 #include "fake_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -65,7 +66,8 @@
     FakeFleet fleet(4);
     settle(fleet);
     for (std::size_t i = 0; i < fleet.size(); i++) {
-        if (fleet.node(i).membership().isRelay() && fleet.node(i).membership().self().dataCentre.text() == "dc-1")
+        if (fleet.node(i).membership().isRelay()
+            && fleet.node(i).membership().self().dataCentre.text() == "dc-1")
             fleet.kill(i);
     }
     const Revision revision = fleet.propose("a");
@@ -83,7 +85,8 @@
     CHECK(fleet.leastRevision() == revision);
 }
 
-TEST_CASE("a data centre cut off from all serves on, and catches up when the cut heals", "[control]")
+TEST_CASE("a data centre cut off from all serves on, and catches up when the cut heals",
+          "[control]")
 {
     FakeFleet fleet(6);
     settle(fleet);
@@ -137,7 +140,8 @@
     CHECK(fleet.platformCalls - before <= 4 * PER_DATA_CENTRE);
 }
 
-TEST_CASE("a platform that is down for long is asked ever less, and said once to be lost", "[control]")
+TEST_CASE("a platform that is down for long is asked ever less, and said once to be lost",
+          "[control]")
 {
     FakeFleet fleet(9);
     settle(fleet);
@@ -183,7 +187,8 @@
     CHECK(fleet.leastRevision() == revision);
 }
 
-TEST_CASE("a bad version on the platform is refused whole, and a later good one mends it", "[control]")
+TEST_CASE("a bad version on the platform is refused whole, and a later good one mends it",
+          "[control]")
 {
     FakeFleet fleet(12);
     settle(fleet);
--- a/src/daemon/admin_handler.cpp
+++ b/src/daemon/admin_handler.cpp
@@ -48,7 +48,8 @@
         return timeline();
     if (reading && request.path == "/entries")
         return entries();
-    if (request.method == "POST" && request.path == "/experiment/cut" && m_parts.settings.experimentCuts)
+    if (request.method == "POST" && request.path == "/experiment/cut"
+        && m_parts.settings.experimentCuts)
         return cut(request);
     if (request.method == "POST" && request.path == "/drain") {
         m_drain();
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -21,15 +21,15 @@
 /** What the loop works with; all of it outlives the loop. */
 struct ControlLoopParts
 {
-    const Settings &settings;   ///< Settings of the daemon.
-    const Clock &clock;         ///< Time.
-    HttpObjectStore &store;     ///< The platform, for short calls.
+    const Settings &settings;    ///< Settings of the daemon.
+    const Clock &clock;          ///< Time.
+    HttpObjectStore &store;      ///< The platform, for short calls.
     HttpObjectStore &watchStore; ///< The platform, for watches.
-    Metrics &metrics;           ///< Counters.
-    Timeline &timeline;         ///< Events.
-    SharedView &view;           ///< Read by calls.
-    const NetworkCuts &cuts;    ///< Addresses that an experiment cuts off.
-    ReceiverIdentity &identity; ///< Incarnation, as claims carry it.
+    Metrics &metrics;            ///< Counters.
+    Timeline &timeline;          ///< Events.
+    SharedView &view;            ///< Read by calls.
+    const NetworkCuts &cuts;     ///< Addresses that an experiment cuts off.
+    ReceiverIdentity &identity;  ///< Incarnation, as claims carry it.
 };
 
 /** A copy of the control's state, for operators. */
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -80,11 +80,12 @@
 public:
     explicit Daemon(const Settings &settings)
         : m_settings(settings)
-        , m_store({settings.platform.addresses, settings.platform.timeout, m_cancellation.socket(), &m_cuts},
+        , m_store({settings.platform.addresses, settings.platform.timeout, m_cancellation.socket(),
+                   &m_cuts},
                   m_clock)
-        , m_watchStore(
-              {settings.platform.addresses, settings.platform.timeout, m_cancellation.socket(), &m_cuts},
-              m_clock)
+        , m_watchStore({settings.platform.addresses, settings.platform.timeout,
+                        m_cancellation.socket(), &m_cuts},
+                       m_clock)
         , m_incarnation(static_cast<std::uint64_t>(m_clock.wallNow().ms))
         , m_timeline({settings.id, settings.dataCentre, m_incarnation}, settings.timelineEvents,
                      m_clock)
@@ -94,9 +95,9 @@
         , m_sender(senderParts(), RELAY_CONNECTIONS, settings.call.bodyBytesMax)
         , m_edge(senderParts(), m_sender, m_registry, settings)
         , m_relay(senderParts(), m_receiver)
-        , m_loop(
-              {settings, m_clock, m_store, m_watchStore, m_metrics, m_timeline, m_view, m_cuts, m_identity},
-              m_incarnation)
+        , m_loop({settings, m_clock, m_store, m_watchStore, m_metrics, m_timeline, m_view, m_cuts,
+                  m_identity},
+                 m_incarnation)
         , m_admin({m_loop, m_metrics, m_timeline, m_view, settings, m_receiver, m_cuts},
                   [this] { beginDrain(); })
     {
--- a/src/delivery/tests/delivery_test.cpp
+++ b/src/delivery/tests/delivery_test.cpp
@@ -44,7 +44,8 @@
     CHECK(ledger.begin({"b", 1}, NOW).state == KeyState::Unknown);
 }
 
-TEST_CASE("the ledger is bounded by count, bytes and age, and keeps what is in progress", "[delivery]")
+TEST_CASE("the ledger is bounded by count, bytes and age, and keeps what is in progress",
+          "[delivery]")
 {
     KeyLedger ledger{LedgerOptions{seconds(10), 5, 100}};
     ledger.begin({"running", 1}, NOW);
--- a/src/distribution/distribution.cpp
+++ b/src/distribution/distribution.cpp
@@ -201,8 +201,8 @@
         m_recent.clear();
 }
 
-void Distribution::hold(ConfigurationPtr next, const std::vector<Change> &changes, LinkId source, bool whole,
-                        DistributionActions &actions)
+void Distribution::hold(ConfigurationPtr next, const std::vector<Change> &changes, LinkId source,
+                        bool whole, DistributionActions &actions)
 {
     if (next->revision() <= m_held->revision())
         return;
@@ -232,12 +232,14 @@
     actions.push_back(ApplyVersion{m_current, cause, m_heldWhole});
 }
 
-/** A daemon that just began may have run any version that a peer has; it takes none below the best. */
+/** A daemon that just began may have run any version that a peer has; it takes none below the best.
+ */
 bool Distribution::belowFloor(Revision revision) const
 {
     if (m_current->revision() != 0)
         return false;
-    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &peer) { return peer.second > revision; });
+    return std::any_of(m_peers.begin(), m_peers.end(),
+                       [&](const auto &peer) { return peer.second > revision; });
 }
 
 void Distribution::push(LinkId source, Revision before, DistributionActions &actions)
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -28,7 +28,8 @@
     /** @return the version in force. */
     const ConfigurationPtr &current() const { return m_current; }
 
-    /** @return the newest version that this daemon holds, in force or not yet: what peers are told. */
+    /** @return the newest version that this daemon holds, in force or not yet: what peers are told.
+     */
     Revision heldRevision() const { return m_held->revision(); }
 
     /** This daemon begins or ceases to watch the platform. */
@@ -37,7 +38,8 @@
     /** A link to a peer is up. */
     void linkOpened(LinkId link);
 
-    /** Changes are pushed at once on an eager link; on another one the peer asks when it is behind. */
+    /** Changes are pushed at once on an eager link; on another one the peer asks when it is behind.
+     */
     void setEager(LinkId link, bool eager);
 
     /** A link to a peer is down. */
--- a/src/distribution/distribution_type.h
+++ b/src/distribution/distribution_type.h
@@ -99,10 +99,10 @@
 /** Timeouts and budgets of the distribution. */
 struct DistributionOptions
 {
-    Duration retryMin = {200};        ///< First pause after a failed platform call.
-    Duration retryMax = {5000};       ///< Longest pause between platform calls.
-    Duration answerTimeout = {1000};  ///< A peer that was asked has this long.
-    Duration settle = {300};                 ///< A new daemon listens to its peers this long before it asks one.
+    Duration retryMin = {200};       ///< First pause after a failed platform call.
+    Duration retryMax = {5000};      ///< Longest pause between platform calls.
+    Duration answerTimeout = {1000}; ///< A peer that was asked has this long.
+    Duration settle = {300}; ///< A new daemon listens to its peers this long before it asks one.
     unsigned snapshotsPerSecond = 20; ///< Snapshots sent to peers.
     std::size_t recentMax = 64;       ///< Changes kept for peers that are a little behind.
 };
--- a/src/distribution/tests/catalogue_writer_test.cpp
+++ b/src/distribution/tests/catalogue_writer_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-void noPause(Duration) { }
+void noPause(Duration) {}
 
 Result<AcceptedChange> accept(ObjectStore &store, const Change &change, bool testOnly = false)
 {
@@ -21,7 +21,8 @@
 TEST_CASE("a change that is only tested writes nothing", "[distribution]")
 {
     FakeStore store;
-    CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("a")), true).value().revision == 1);
+    CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("a")), true).value().revision
+          == 1);
     CHECK(store.peek(CATALOGUE_HEAD_OBJECT).version == 0);
 }
 
@@ -30,8 +31,12 @@
     FakeStore store;
     CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("a"))).value().revision == 1);
     CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("b"))).value().revision == 2);
-    CHECK(accept(store, sampleChange(ChangeKind::Amend, sampleEntry("a"), 1, "first")).value().revision == 3);
-    const auto loser = accept(store, sampleChange(ChangeKind::Amend, sampleEntry("a"), 1, "second"));
+    CHECK(accept(store, sampleChange(ChangeKind::Amend, sampleEntry("a"), 1, "first"))
+              .value()
+              .revision
+          == 3);
+    const auto loser
+        = accept(store, sampleChange(ChangeKind::Amend, sampleEntry("a"), 1, "second"));
     CHECK(loser.error().code == ResultCode::EntryConflict);
     CHECK(readCatalogue(store).value().head.revision == 3);
 }
@@ -48,7 +53,8 @@
 TEST_CASE("a write that vanished is tried again", "[distribution]")
 {
     FakeStore store;
-    store.faults = {StoreFault::None, StoreFault::Vanished, StoreFault::Throttled, StoreFault::None, StoreFault::None};
+    store.faults = {StoreFault::None, StoreFault::Vanished, StoreFault::Throttled, StoreFault::None,
+                    StoreFault::None};
     CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("a"))).value().revision == 1);
 }
 
@@ -59,14 +65,18 @@
     CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("a"))).error().code
           == ResultCode::PlatformNotExecuted);
     store.faults = {StoreFault::None, StoreFault::Lost, StoreFault::NotExecuted};
-    CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("a"))).error().code == ResultCode::PlatformUnknown);
+    CHECK(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("a"))).error().code
+          == ResultCode::PlatformUnknown);
 }
 
-TEST_CASE("many changes compact the catalogue and remove the snapshots they replace", "[distribution]")
+TEST_CASE("many changes compact the catalogue and remove the snapshots they replace",
+          "[distribution]")
 {
     FakeStore store;
     for (int i = 0; i < 200; i++)
-        REQUIRE(accept(store, sampleChange(ChangeKind::Propose, sampleEntry("e" + std::to_string(i)))).has_value());
+        REQUIRE(
+            accept(store, sampleChange(ChangeKind::Propose, sampleEntry("e" + std::to_string(i))))
+                .has_value());
     const CatalogueState state = readCatalogue(store).value();
     CHECK(state.configuration->entries().size() == 200);
     CHECK(state.head.changes.size() <= 64);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "base/network_cuts.h"
 #include "base/identifier_type.h"
+#include "base/network_cuts.h"
 #include "http/http_type.h"
 
 #include <atomic>
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -66,7 +66,8 @@
     (void)::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
 }
 
-HttpOutcome ask(HttpClient &client, const Endpoint &server, Duration timeout = seconds(5), int callerSocket = -1)
+HttpOutcome ask(HttpClient &client, const Endpoint &server, Duration timeout = seconds(5),
+                int callerSocket = -1)
 {
     const SystemClock clock;
     HttpRequest request;
@@ -86,7 +87,8 @@
     HttpResponse handle(const HttpRequest &request, int) override
     {
         HttpResponse response;
-        response.body = request.method + " " + request.path + " " + request.query + " " + request.body;
+        response.body
+            = request.method + " " + request.path + " " + request.query + " " + request.body;
         response.status = request.bodyTooLarge ? 413 : 200;
         return response;
     }
@@ -113,10 +115,13 @@
 
 TEST_CASE("an answer that was cut never looks whole", "[http][threaded]")
 {
-    const std::string cuts[] = {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort",
-                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
-                                "HTTP/1.1 200 OK\r\n\r\nno length", "HTTP/1.1 200 OK\r\nContent-Le", "garbage\r\n\r\n",
-                                ""};
+    const std::string cuts[]
+        = {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+           "HTTP/1.1 200 OK\r\n\r\nno length",
+           "HTTP/1.1 200 OK\r\nContent-Le",
+           "garbage\r\n\r\n",
+           ""};
     for (const std::string &cut : cuts) {
         INFO(cut);
         RawServer server([&](int connection) {
@@ -143,7 +148,8 @@
     CHECK(ask(client, closed).failure == HttpFailure::NotSent);
 }
 
-TEST_CASE("a silent server ends at the deadline, and a caller that leaves ends the wait", "[http][threaded]")
+TEST_CASE("a silent server ends at the deadline, and a caller that leaves ends the wait",
+          "[http][threaded]")
 {
     RawServer server([](int connection) {
         while (readRequest(connection)) {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -169,7 +169,8 @@
     if (claim.opinion <= member.opinion)
         return;
     // Hearsay of a failure is a suspicion first: the server may live on this side of a healed cut.
-    const bool hearsay = claim.opinion == MemberOpinion::Failed && member.opinion == MemberOpinion::Alive;
+    const bool hearsay
+        = claim.opinion == MemberOpinion::Failed && member.opinion == MemberOpinion::Alive;
     formOpinion(member, hearsay ? MemberOpinion::Suspected : claim.opinion, now, outcome);
 }
 
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -44,7 +44,8 @@
     MemberRecord draining = record("b");
     draining.sequence = 2;
     draining.state = MemberState::Draining;
-    CHECK(membership.receive(alive(draining), START).news.front().kind == MembershipNews::Kind::StateChanged);
+    CHECK(membership.receive(alive(draining), START).news.front().kind
+          == MembershipNews::Kind::StateChanged);
     membership.receive(alive(record("b")), START);
     CHECK(membership.find(ServerId("b"))->record.state == MemberState::Draining);
 }
@@ -74,7 +75,8 @@
     CHECK(a.tick(START + milliseconds(500)).news.front().kind == MembershipNews::Kind::Failed);
 }
 
-TEST_CASE("a restarted daemon comes after its earlier life even with a slower clock", "[membership]")
+TEST_CASE("a restarted daemon comes after its earlier life even with a slower clock",
+          "[membership]")
 {
     Membership reborn = table("a");
     MemberRecord earlier = record("a");
@@ -89,7 +91,8 @@
     CHECK(other.find(ServerId("a"))->record.incarnation == 901);
 }
 
-TEST_CASE("a failure is remembered, so that old news does not bring the server back", "[membership]")
+TEST_CASE("a failure is remembered, so that old news does not bring the server back",
+          "[membership]")
 {
     Membership a = table("a");
     a.receive({{record("b"), MemberOpinion::Failed}}, START);
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -167,7 +167,7 @@
     struct Link
     {
         Handle handle;         ///< Connection of one of the two endpoints.
-        std::string address; ///< IP number of the other side.
+        std::string address;   ///< IP number of the other side.
         bool mine = false;     ///< True when this side opened it.
         TimePoint second{0};   ///< Start of the current second of the rate bound.
         unsigned messages = 0; ///< Messages in the current second.
@@ -187,7 +187,10 @@
         endpoint.set_close_handler([this](Handle handle) { closed(handle); });
     }
 
-    bool isCut(const std::string &address) const { return m_options.cuts != nullptr && m_options.cuts->isCut(address); }
+    bool isCut(const std::string &address) const
+    {
+        return m_options.cuts != nullptr && m_options.cuts->isCut(address);
+    }
 
     template<typename EndpointType>
     std::string remoteAddress(EndpointType &endpoint, const Handle &handle) const
@@ -259,11 +262,13 @@
         if (link.mine) {
             const auto connection = m_client.get_con_from_hdl(link.handle, error);
             return error ? ResultCode::PeerClosed
-                         : codeOf(connection->get_local_close_code(), connection->get_remote_close_code());
+                         : codeOf(connection->get_local_close_code(),
+                                  connection->get_remote_close_code());
         }
         const auto connection = m_server.get_con_from_hdl(link.handle, error);
         return error ? ResultCode::PeerClosed
-                     : codeOf(connection->get_local_close_code(), connection->get_remote_close_code());
+                     : codeOf(connection->get_local_close_code(),
+                              connection->get_remote_close_code());
     }
 
     static ResultCode codeOf(ws::close::status::value local, ws::close::status::value remote)
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -66,7 +66,9 @@
 } // namespace
 
 HttpObjectStore::HttpObjectStore(HttpObjectStoreOptions options, const Clock &clock)
-    : m_options(std::move(options)), m_clock(clock), m_client(clock, IDLE_CONNECTIONS, m_options.cuts)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_client(clock, IDLE_CONNECTIONS, m_options.cuts)
 {}
 
 Result<HttpResponse> HttpObjectStore::call(const HttpRequest &request, Duration wait)
--- a/src/platform/http_object_store.h
+++ b/src/platform/http_object_store.h
@@ -14,9 +14,9 @@
 /** How the API is reached. */
 struct HttpObjectStoreOptions
 {
-    std::vector<Endpoint> addresses; ///< Tried in turn while nothing was sent.
-    Duration timeout;                ///< Longest wait for an answer, beside the wait of a watch.
-    int cancelSocket = -1;           ///< Socket whose closing ends all calls; -1 for none.
+    std::vector<Endpoint> addresses;   ///< Tried in turn while nothing was sent.
+    Duration timeout;                  ///< Longest wait for an answer, beside the wait of a watch.
+    int cancelSocket = -1;             ///< Socket whose closing ends all calls; -1 for none.
     const NetworkCuts *cuts = nullptr; ///< Addresses that an experiment cuts off.
 };
 
--- a/src/proxy/call_func.cpp
+++ b/src/proxy/call_func.cpp
@@ -230,6 +230,7 @@
     const bool busy = result.attempt.code == ResultCode::CallOverloaded
                       || result.attempt.code == ResultCode::CallDeadline
                       || result.attempt.code == ResultCode::CallDraining
+                      || result.attempt.code == ResultCode::CallLimitReached
                       || result.attempt.code == ResultCode::CallNoServer
                       || result.attempt.code == ResultCode::CallServerFailed;
     result.attempt.retryElsewhere = busy;
--- a/src/proxy/call_receiver.cpp
+++ b/src/proxy/call_receiver.cpp
@@ -65,11 +65,29 @@
     const GatePass pass = m_gate.enter(call.entry->entry.requestClass, call.context.deadline);
     if (!pass.admitted)
         return notRun(pass.code, {}, pass.retryAfter, true);
-    CallResult result = dispatch(call, call.context.deadline, call.callerSocket);
+    const LimitAnswer limit = startWithinLimit(call.entry->entry);
+    CallResult result = limit.granted
+                            ? dispatch(call, call.context.deadline, call.callerSocket)
+                            : notRun(ResultCode::CallLimitReached, {}, limit.retryAfter, true);
+    if (limit.granted)
+        finishWithinLimit(call.entry->entry);
     m_gate.leave(pass);
     return result;
 }
 
+LimitAnswer CallReceiver::startWithinLimit(const Entry &entry)
+{
+    const LimitPart part = partOf(entry.limits, m_backend.index);
+    const std::lock_guard<std::mutex> lock(m_limitsMutex);
+    return m_limits[entry.name].start(part, m_clock.now());
+}
+
+void CallReceiver::finishWithinLimit(const Entry &entry)
+{
+    const std::lock_guard<std::mutex> lock(m_limitsMutex);
+    m_limits[entry.name].finish();
+}
+
 void CallReceiver::finish(const std::string &key, KeyState state, const HttpResponse &answer)
 {
     const std::lock_guard<std::mutex> lock(m_ledgerMutex);
@@ -121,7 +139,14 @@
     const GatePass pass = m_gate.enter(call.entry->entry.requestClass, call.context.deadline);
     if (!pass.admitted)
         return refuseKeyed(key, claimed, notRun(pass.code, {}, pass.retryAfter, true));
-    CallResult result = claimAndDispatch(call, key, claimed);
+    const LimitAnswer limit = startWithinLimit(call.entry->entry);
+    CallResult result
+        = limit.granted
+              ? claimAndDispatch(call, key, claimed)
+              : refuseKeyed(key, claimed,
+                            notRun(ResultCode::CallLimitReached, {}, limit.retryAfter, true));
+    if (limit.granted)
+        finishWithinLimit(call.entry->entry);
     m_gate.leave(pass);
     return result;
 }
--- a/src/proxy/call_receiver.h
+++ b/src/proxy/call_receiver.h
@@ -6,6 +6,7 @@
 #include "delivery/claim_func.h"
 #include "delivery/key_ledger.h"
 #include "http/http_client.h"
+#include "limits/limit_window.h"
 #include "platform/object_store.h"
 #include "proxy/admission_gate.h"
 #include "proxy/call_registry.h"
@@ -69,6 +70,8 @@
     ClaimResult renewClaim(const std::string &object, const Claim &wanted, ObjectVersion version);
     CallResult refuseKeyed(const RequestKey &key, bool claimed, CallResult refusal);
     CallResult readiness() const;
+    LimitAnswer startWithinLimit(const Entry &entry);
+    void finishWithinLimit(const Entry &entry);
     CallResult afterDispatch(const OutgoingCall &call, const RequestKey &key, CallResult result,
                              ObjectVersion claimVersion);
     CallResult dispatch(const OutgoingCall &call, TimePoint deadline, int callerSocket);
@@ -82,6 +85,8 @@
     const Clock &m_clock;
     HttpClient m_client;
     AdmissionGate m_gate;
+    std::mutex m_limitsMutex;
+    std::map<EntryName, LimitWindow> m_limits;
     std::mutex m_ledgerMutex;
     KeyLedger m_ledger;
     std::atomic<std::uint64_t> m_nextToken{1};
--- a/src/proxy/call_sender.cpp
+++ b/src/proxy/call_sender.cpp
@@ -76,28 +76,60 @@
         return notRun(ResultCode::CallNoServer,
                       "no server of '" + entry.service.text() + "' is known", RETRY_SOON, false);
     m_budget.callStarted();
-    std::vector<ServerId> tried;
-    CallResult result = notRun(ResultCode::CallNoServer, "no server is left", RETRY_SOON, false);
+    std::vector<ServerId> tried = limitedServers(entry.name, m_parts.clock.now());
+    unsigned attempts = 0;
+    // Before the first answer: what is said when every server's part of the limit is known to be
+    // used up.
+    const ResultCode none = tried.empty() ? ResultCode::CallNoServer : ResultCode::CallLimitReached;
+    CallResult result = notRun(none, {}, RETRY_SOON, false);
     while (true) {
         const TimePoint now = m_parts.clock.now();
         if (now >= call.context.deadline)
-            return tried.empty() ? notRun(ResultCode::CallDeadline, {}, RETRY_SOON, false) : result;
+            return attempts == 0 ? notRun(ResultCode::CallDeadline, {}, RETRY_SOON, false) : result;
         const std::optional<Target> target = router->choose(tried, now);
         if (!target)
             return result;
         tried.push_back(target->id);
+        attempts++;
         result = attempt(call, *target);
         router->finished(target->id, targetOutcome(result), result.load, m_parts.clock.now());
         if (!result.claimedBy.empty())
             return follow(call, result);
-        if (!m_budget.mayRetry(result.attempt, entry.idempotent,
-                               static_cast<unsigned>(tried.size())))
+        if (result.attempt.code == ResultCode::CallLimitReached) {
+            // Another server's part may have room; its refusal was cheap and proves that nothing
+            // ran.
+            learnLimit(entry.name, target->id, m_parts.clock.now() + result.retryAfter);
+            continue;
+        }
+        if (!m_budget.mayRetry(result.attempt, entry.idempotent, attempts))
             return result;
         m_parts.metrics.count("call_retries_total", "service=\"" + entry.service.text() + "\"");
         note(EventKind::CallRetried, call, result);
     }
 }
 
+std::vector<ServerId> CallSender::limitedServers(const EntryName &entry, TimePoint now)
+{
+    const std::lock_guard<std::mutex> lock(m_limitedMutex);
+    std::vector<ServerId> servers;
+    for (auto at = m_limited.begin(); at != m_limited.end();) {
+        if (at->second <= now) {
+            at = m_limited.erase(at);
+            continue;
+        }
+        if (at->first.first == entry)
+            servers.push_back(at->first.second);
+        ++at;
+    }
+    return servers;
+}
+
+void CallSender::learnLimit(const EntryName &entry, const ServerId &server, TimePoint until)
+{
+    const std::lock_guard<std::mutex> lock(m_limitedMutex);
+    m_limited[{entry, server}] = until;
+}
+
 CallResult CallSender::attempt(const OutgoingCall &call, const Target &target)
 {
     m_parts.metrics.count("call_attempts_total");
--- a/src/proxy/call_sender.h
+++ b/src/proxy/call_sender.h
@@ -11,6 +11,9 @@
 #include "timeline/timeline.h"
 
 #include <functional>
+#include <map>
+#include <mutex>
+#include <vector>
 
 namespace cornelwell {
 
@@ -23,7 +26,7 @@
     Metrics &metrics;                 ///< Counters.
     Timeline &timeline;               ///< Events.
     ObjectStore &store;               ///< The platform, to look for claims.
-    const NetworkCuts *cuts; ///< Addresses that an experiment cuts off; may be null.
+    const NetworkCuts *cuts;          ///< Addresses that an experiment cuts off; may be null.
     const Clock &clock;               ///< Time.
 };
 
@@ -53,12 +56,16 @@
     CallResult attempt(const OutgoingCall &call, const Target &target);
     CallResult follow(const OutgoingCall &call, const CallResult &claimed);
     CallResult overHttp(const OutgoingCall &call, const Endpoint &relay);
+    std::vector<ServerId> limitedServers(const EntryName &entry, TimePoint now);
+    void learnLimit(const EntryName &entry, const ServerId &server, TimePoint until);
     void note(EventKind kind, const OutgoingCall &call, const CallResult &result);
 
     const SenderParts m_parts;
     const std::size_t m_bodyBytesMax;
     HttpClient m_client;
     RetryBudget m_budget;
+    std::mutex m_limitedMutex;
+    std::map<std::pair<EntryName, ServerId>, TimePoint> m_limited;
     std::function<void(const ServerId &)> m_refused;
 };
 
--- a/src/settings/settings_func.cpp
+++ b/src/settings/settings_func.cpp
@@ -237,6 +237,7 @@
     backend.service = ServiceName(reader.text("/backend/service"));
     backend.address = parseEndpoint(reader.text("/backend/address")).value();
     backend.slots = reader.count("/backend/slots");
+    backend.index = reader.count("/backend/index");
     backend.connections = reader.count("/backend/connections");
     backend.queue = reader.count("/backend/queue");
     backend.warmUp = reader.span("/backend/warm_up_ms");
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -38,6 +38,7 @@
     ServiceName service;      ///< The service that it runs.
     Endpoint address;         ///< Where it listens.
     unsigned slots = 0;       ///< Requests that it runs at once.
+    unsigned index = 0;       ///< Number in its service, from 1; 0 has no part of voted limits.
     unsigned connections = 0; ///< Connections that it takes.
     unsigned queue = 0;       ///< Requests that wait for a slot.
     Duration warmUp;          ///< From ready to full weight.
@@ -88,7 +89,8 @@
     DrainSettings drain;            ///< Graceful shutdown.
     std::string logLevel;           ///< Least severe level that is written.
     std::size_t timelineEvents = 0; ///< Events kept in memory.
-    bool experimentCuts = false; ///< The admin address may cut this daemon off; for experiments only.
+    bool experimentCuts
+        = false; ///< The admin address may cut this daemon off; for experiments only.
 };
 
 } // namespace cornelwell
--- a/src/settings/table/settings_schema.h
+++ b/src/settings/table/settings_schema.h
@@ -63,6 +63,9 @@
     {"/backend/service", K::Name, true, 0, 0, 0, "", "service that it runs"},
     {"/backend/address", K::Address, true, 0, 0, 0, "", "IP:PORT where it listens"},
     {"/backend/slots", K::Number, false, 1, 1000, 8, "requests", "requests that it runs at once"},
+    {"/backend/index", K::Number, false, 0, 10000, 0, "number",
+     "number of this server in its service, from 1, no two alike: its part of voted limits; 0: no "
+     "part"},
     {"/backend/connections", K::Number, false, 1, 10000, 120, "connections",
      "connections that it takes"},
     {"/backend/queue", K::Number, false, 0, 10000, 32, "requests", "requests that wait for a slot"},
@@ -103,7 +106,8 @@
     {"/timeline", K::Object, false, 0, 0, 0, "", "the time line"},
     {"/timeline/events", K::Number, false, 64, 1000000, 4096, "events", "events kept in memory"},
     {"/experiment", K::Object, false, 0, 0, 0, "", "for experiments only"},
-    {"/experiment/cuts", K::Number, false, 0, 1, 0, "0 or 1", "1: POST /experiment/cut on the admin address cuts this daemon off from IP numbers"},
+    {"/experiment/cuts", K::Number, false, 0, 1, 0, "0 or 1",
+     "1: POST /experiment/cut on the admin address cuts this daemon off from IP numbers"},
 };
 
 } // namespace cornelwell
--- a/src/settings/tests/settings_test.cpp
+++ b/src/settings/tests/settings_test.cpp
@@ -53,11 +53,14 @@
             {with("/ports/call", "7101"), C::SettingsWrongType, "/ports/call"},
             {with("/ports/call", 70000), C::SettingsOutOfRange, "/ports/call"},
             {with("/ports/call", 7102), C::SettingsDuplicateAddress, "/ports/relay"},
-            {with("/backend/address", "127.1.1.1:7104"), C::SettingsDuplicateAddress, "/backend/address"},
+            {with("/backend/address", "127.1.1.1:7104"), C::SettingsDuplicateAddress,
+             "/backend/address"},
             {with("/address", "localhost"), C::AddressInvalid, "/address"},
             {with("/address", 127), C::SettingsWrongType, "/address"},
-            {with("/platform/addresses", nlohmann::json::array()), C::SettingsOutOfRange, "/platform/addresses"},
-            {with("/platform/addresses/0", "platform:7000"), C::AddressInvalid, "/platform/addresses/0"},
+            {with("/platform/addresses", nlohmann::json::array()), C::SettingsOutOfRange,
+             "/platform/addresses"},
+            {with("/platform/addresses/0", "platform:7000"), C::AddressInvalid,
+             "/platform/addresses/0"},
             {with("/platform/timeout_ms", 1), C::SettingsOutOfRange, "/platform/timeout_ms"},
             {with("/platform/retry_min_ms", 6000), C::SettingsOutOfRange, "/platform/retry_max_ms"},
             {with("/backend/slots", 0), C::SettingsOutOfRange, "/backend/slots"},
@@ -68,7 +71,8 @@
             {without("/backend", "service"), C::SettingsMissingKey, "/backend/service"},
             {with("/calls", "trace-registry"), C::SettingsWrongType, "/calls"},
             {with("/calls/1", "trace-registry"), C::SettingsDuplicateAddress, "/calls/1"},
-            {with("/peer", {{"heartbeat_ms", 1000}, {"silence_ms", 1500}}), C::SettingsOutOfRange, "/peer/silence_ms"},
+            {with("/peer", {{"heartbeat_ms", 1000}, {"silence_ms", 1500}}), C::SettingsOutOfRange,
+             "/peer/silence_ms"},
             {with("/log", {{"level", "loud"}}), C::SettingsOutOfRange, "/log/level"}};
 }
 
--- a/tests/fake_fleet.cpp
+++ b/tests/fake_fleet.cpp
@@ -10,12 +10,12 @@
 
 namespace {
 
-constexpr Duration TICK = {100};          ///< Pause between ticks of a control.
-constexpr Duration PLATFORM_DELAY = {3};  ///< Time of a call to the platform.
-constexpr Duration WATCH = {10000};       ///< Longest wait of a watch.
-constexpr Duration WATCH_POLL = {2};      ///< Steps in which a waiting watch looks.
+constexpr Duration TICK = {100};             ///< Pause between ticks of a control.
+constexpr Duration PLATFORM_DELAY = {3};     ///< Time of a call to the platform.
+constexpr Duration WATCH = {10000};          ///< Longest wait of a watch.
+constexpr Duration WATCH_POLL = {2};         ///< Steps in which a waiting watch looks.
 constexpr Duration CONNECT_TIMEOUT = {1000}; ///< A connection over a cut fails after this.
-constexpr std::uint16_t PEER_PORT = 7103; ///< Peer port of all daemons.
+constexpr std::uint16_t PEER_PORT = 7103;    ///< Peer port of all daemons.
 
 std::string addressOf(std::size_t daemon)
 {
@@ -31,7 +31,7 @@
 
 } // namespace
 
-FakeFleet::FakeFleet(std::uint64_t seed) : m_random(seed) { }
+FakeFleet::FakeFleet(std::uint64_t seed) : m_random(seed) {}
 
 std::size_t FakeFleet::addDaemon(const std::string &dataCentre)
 {
@@ -48,7 +48,9 @@
 
 Duration FakeFleet::delay()
 {
-    return {1 + static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(faults.delayMax.ms)))};
+    return {1
+            + static_cast<std::int64_t>(
+                m_random.below(static_cast<std::uint64_t>(faults.delayMax.ms)))};
 }
 
 bool FakeFleet::isCut(const std::string &from, const std::string &to) const
@@ -177,7 +179,8 @@
         FakeFleet &f = fleet;
         const std::size_t who = daemon;
         fleet.onDaemon(daemon, incarnation, PLATFORM_DELAY, [&f, who](ControlNode &node) {
-            return node.contactsRead(f.platformCall(who, [&] { return f.store.read(CONTACTS_OBJECT); }), f.m_now);
+            return node.contactsRead(
+                f.platformCall(who, [&] { return f.store.read(CONTACTS_OBJECT); }), f.m_now);
         });
     }
     void operator()(const WriteContacts &write) const
@@ -185,14 +188,15 @@
         FakeFleet &f = fleet;
         const std::size_t who = daemon;
         fleet.onDaemon(daemon, incarnation, PLATFORM_DELAY, [&f, who, write](ControlNode &node) {
-            return node.contactsWritten(f.platformCall(who,
-                                                       [&] {
-                                                           return write.version == 0
-                                                               ? f.store.create(CONTACTS_OBJECT, write.text)
-                                                               : f.store.update(CONTACTS_OBJECT, write.text,
-                                                                                write.version);
-                                                       }),
-                                        f.m_now);
+            return node.contactsWritten(
+                f.platformCall(who,
+                               [&] {
+                                   return write.version == 0
+                                              ? f.store.create(CONTACTS_OBJECT, write.text)
+                                              : f.store.update(CONTACTS_OBJECT, write.text,
+                                                               write.version);
+                               }),
+                f.m_now);
         });
     }
     void operator()(const WatchHead &watch) const
@@ -218,7 +222,7 @@
     }
     void operator()(const ApplyVersion &apply) const { fleet.apply(daemon, apply); }
     void operator()(const RecordEvent &event) const { fleet.m_events[event.kind]++; }
-    void operator()(const MembersChanged &) const { }
+    void operator()(const MembersChanged &) const {}
 };
 
 void FakeFleet::execute(std::size_t daemon, ControlActions actions)
@@ -237,22 +241,25 @@
     return call();
 }
 
-void FakeFleet::answerWatch(std::size_t daemon, std::uint64_t incarnation, std::uint64_t version, TimePoint until)
+void FakeFleet::answerWatch(std::size_t daemon, std::uint64_t incarnation, std::uint64_t version,
+                            TimePoint until)
 {
-    onDaemon(daemon, incarnation, WATCH_POLL, [this, daemon, incarnation, version, until](ControlNode &node) {
-        using Answer = Result<std::optional<StoredObject>>;
-        if (platformDown || isCut(m_daemons[daemon].dataCentre, "platform"))
-            return node.watchAnswered(Answer(fail(ResultCode::PlatformUnknown, "cut off")), m_now);
-        const bool stale = !m_oldHeads.empty() && m_random.chance(platformStalePerMille);
-        const StoredObject head = stale ? m_oldHeads[m_random.below(m_oldHeads.size())]
-                                        : store.peek(CATALOGUE_HEAD_OBJECT);
-        if (head.version != version && head.version != 0)
-            return node.watchAnswered(Answer(std::optional<StoredObject>(head)), m_now);
-        if (m_now >= until)
-            return node.watchAnswered(Answer(std::optional<StoredObject>()), m_now);
-        answerWatch(daemon, incarnation, version, until);
-        return ControlActions();
-    });
+    onDaemon(daemon, incarnation, WATCH_POLL,
+             [this, daemon, incarnation, version, until](ControlNode &node) {
+                 using Answer = Result<std::optional<StoredObject>>;
+                 if (platformDown || isCut(m_daemons[daemon].dataCentre, "platform"))
+                     return node.watchAnswered(Answer(fail(ResultCode::PlatformUnknown, "cut off")),
+                                               m_now);
+                 const bool stale = !m_oldHeads.empty() && m_random.chance(platformStalePerMille);
+                 const StoredObject head = stale ? m_oldHeads[m_random.below(m_oldHeads.size())]
+                                                 : store.peek(CATALOGUE_HEAD_OBJECT);
+                 if (head.version != version && head.version != 0)
+                     return node.watchAnswered(Answer(std::optional<StoredObject>(head)), m_now);
+                 if (m_now >= until)
+                     return node.watchAnswered(Answer(std::optional<StoredObject>()), m_now);
+                 answerWatch(daemon, incarnation, version, until);
+                 return ControlActions();
+             });
 }
 
 void FakeFleet::openLink(std::size_t from, const Endpoint &endpoint)
@@ -264,8 +271,9 @@
         const std::string &here = m_daemons[from].dataCentre;
         const std::string &there = m_daemons[to].dataCentre;
         if (isCut(here, there) || isCut(there, here)) {
-            onDaemon(from, incarnation, CONNECT_TIMEOUT,
-                     [this, endpoint](ControlNode &node) { return node.linkFailed(endpoint, false, m_now); });
+            onDaemon(from, incarnation, CONNECT_TIMEOUT, [this, endpoint](ControlNode &node) {
+                return node.linkFailed(endpoint, false, m_now);
+            });
             return;
         }
         if (!m_daemons[to].node)
@@ -276,15 +284,18 @@
         m_ends[mine] = {from, incarnation, theirs, to, peerIncarnation};
         m_ends[theirs] = {to, peerIncarnation, mine, from, incarnation};
         onDaemon(from, incarnation, delay(), [this, mine, endpoint](ControlNode &node) {
-            return m_ends.count(mine) != 0 ? node.linkOpened(mine, endpoint, m_now) : ControlActions();
+            return m_ends.count(mine) != 0 ? node.linkOpened(mine, endpoint, m_now)
+                                           : ControlActions();
         });
         onDaemon(to, peerIncarnation, delay(), [this, theirs](ControlNode &node) {
-            return m_ends.count(theirs) != 0 ? node.linkOpened(theirs, std::nullopt, m_now) : ControlActions();
+            return m_ends.count(theirs) != 0 ? node.linkOpened(theirs, std::nullopt, m_now)
+                                             : ControlActions();
         });
         return;
     }
-    onDaemon(from, incarnation, delay(),
-             [this, endpoint](ControlNode &node) { return node.linkFailed(endpoint, true, m_now); });
+    onDaemon(from, incarnation, delay(), [this, endpoint](ControlNode &node) {
+        return node.linkFailed(endpoint, true, m_now);
+    });
 }
 
 void FakeFleet::send(std::size_t from, const SendMessage &send)
@@ -294,7 +305,8 @@
         return;
     const LinkEnd end = at->second;
     messagesSent[messageKindName(send.message.index())]++;
-    if (isCut(m_daemons[from].dataCentre, m_daemons[end.peer].dataCentre) || m_random.chance(faults.dropPerMille))
+    if (isCut(m_daemons[from].dataCentre, m_daemons[end.peer].dataCentre)
+        || m_random.chance(faults.dropPerMille))
         return;
     // Through the codec, so that every message of every schedule is encoded and decoded.
     const std::string bytes = encodeMessage({{}, send.message});
@@ -302,8 +314,8 @@
     for (unsigned i = 0; i < copies; i++) {
         onDaemon(end.peer, end.peerIncarnation, delay(), [this, end, bytes](ControlNode &node) {
             return m_ends.count(end.peerLink) != 0
-                ? node.receive(end.peerLink, decodeMessage(bytes).value().message, m_now)
-                : ControlActions();
+                       ? node.receive(end.peerLink, decodeMessage(bytes).value().message, m_now)
+                       : ControlActions();
         });
     }
 }
@@ -339,7 +351,9 @@
 Result<AcceptedChange> FakeFleet::accept(const Change &change)
 {
     const StoredObject before = store.peek(CATALOGUE_HEAD_OBJECT);
-    auto accepted = CatalogueWriter(store, [](Duration) {}, m_random.bits()).accept(change, false);
+    auto accepted = CatalogueWriter(
+                        store, [](Duration) {}, m_random.bits())
+                        .accept(change, false);
     if (before.version != 0)
         m_oldHeads.push_back(before);
     const auto state = readCatalogue(store);
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -24,7 +24,8 @@
     Duration delayMax = {5};        ///< Longest delay; messages on a link may overtake each other.
 };
 
-/** A few controls with everything that surrounds them. Checks the promises about versions at each step. */
+/** A few controls with everything that surrounds them. Checks the promises about versions at each
+ * step. */
 class FakeFleet
 {
 public:
@@ -44,7 +45,8 @@
     void setPaused(std::size_t daemon, bool paused);
     /** A daemon announces a state of its server. */
     void announce(std::size_t daemon, MemberState state);
-    /** Cuts or restores the direction from one data centre to another; "platform" names the platform. */
+    /** Cuts or restores the direction from one data centre to another; "platform" names the
+     * platform. */
     void setCut(const std::string &from, const std::string &to, bool cut);
     /** Cuts or restores both directions. */
     void setCutBoth(const std::string &a, const std::string &b, bool cut);
@@ -72,13 +74,14 @@
     /** @return events of this kind recorded by all daemons so far. */
     unsigned events(EventKind kind) const;
 
-    NetworkFaults faults;             ///< Faults of the network.
-    FakeStore store;                  ///< The platform's objects.
-    bool platformDown = false;        ///< The platform refuses calls.
-    unsigned platformStalePerMille = 0; ///< Watches that show an older head.
-    unsigned platformCalls = 0;       ///< Calls of daemons to the platform.
+    NetworkFaults faults;                            ///< Faults of the network.
+    FakeStore store;                                 ///< The platform's objects.
+    bool platformDown = false;                       ///< The platform refuses calls.
+    unsigned platformStalePerMille = 0;              ///< Watches that show an older head.
+    unsigned platformCalls = 0;                      ///< Calls of daemons to the platform.
     std::map<std::string, std::size_t> messagesSent; ///< Messages by kind.
-    unsigned revertsOverRestart = 0;  ///< Versions applied by a later life that are older than an earlier one's.
+    unsigned revertsOverRestart
+        = 0; ///< Versions applied by a later life that are older than an earlier one's.
 
 private:
     struct Daemon
@@ -123,7 +126,8 @@
     void breakLinks(std::size_t daemon);
     void tick(std::size_t daemon, std::uint64_t incarnation);
     void apply(std::size_t daemon, const ApplyVersion &action);
-    void answerWatch(std::size_t daemon, std::uint64_t incarnation, std::uint64_t version, TimePoint until);
+    void answerWatch(std::size_t daemon, std::uint64_t incarnation, std::uint64_t version,
+                     TimePoint until);
     template<typename Call>
     auto platformCall(std::size_t daemon, Call call) -> decltype(call());
     Duration delay();
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -10,7 +10,8 @@
 namespace cornelwell {
 
 /** What happens to a call. */
-enum class StoreFault {
+enum class StoreFault
+{
     None,        ///< It works.
     NotExecuted, ///< The platform is not reached.
     Throttled,   ///< One call too many.
@@ -44,7 +45,8 @@
         return put(name, text, 0);
     }
 
-    Result<ObjectVersion> update(const std::string &name, const std::string &text, ObjectVersion version) override
+    Result<ObjectVersion> update(const std::string &name, const std::string &text,
+                                 ObjectVersion version) override
     {
         return put(name, text, version);
     }
@@ -63,7 +65,8 @@
         return success();
     }
 
-    Result<std::optional<StoredObject>> watch(const std::string &name, ObjectVersion version, Duration) override
+    Result<std::optional<StoredObject>> watch(const std::string &name, ObjectVersion version,
+                                              Duration) override
     {
         const auto object = read(name);
         if (!object)
@@ -81,7 +84,10 @@
     }
 
     /** Puts an object in place without a call. */
-    void plant(const std::string &name, const std::string &text) { m_items[name] = {text, ++m_version}; }
+    void plant(const std::string &name, const std::string &text)
+    {
+        m_items[name] = {text, ++m_version};
+    }
 
 private:
     static auto errorOf(StoreFault fault) -> decltype(fail(ResultCode::Ok, std::string()))
@@ -106,7 +112,8 @@
         return fault;
     }
 
-    Result<ObjectVersion> put(const std::string &name, const std::string &text, ObjectVersion expected)
+    Result<ObjectVersion> put(const std::string &name, const std::string &text,
+                              ObjectVersion expected)
     {
         const StoreFault fault = nextFault();
         if (fault != StoreFault::None && fault != StoreFault::Lost)
--- a/tests/sample_entries.h
+++ b/tests/sample_entries.h
@@ -35,7 +35,8 @@
 }
 
 /** @return a change; its revision is left to the writer. */
-inline Change sampleChange(ChangeKind kind, const Entry &entry, Revision base = 0, const std::string &id = {})
+inline Change sampleChange(ChangeKind kind, const Entry &entry, Revision base = 0,
+                           const std::string &id = {})
 {
     Change change;
     change.id = id.empty() ? entry.name.text() + "-" + std::to_string(base) : id;
