--- a/src/cli/cli_func.cpp
+++ b/src/cli/cli_func.cpp
@@ -54,28 +54,50 @@
     return std::unique_ptr<ObjectStore>(new HttpObjectStore(std::move(store), clock));
 }
 
-Result<nlohmann::json> askDaemon(const std::string &address, const std::string &path,
-                                 Duration timeout)
+namespace {
+
+Result<std::string> exchange(const std::string &address, const HttpRequest &request,
+                             Duration timeout)
 {
     BOOST_OUTCOME_TRY(endpoint, parseEndpoint(address));
     const SystemClock clock;
     HttpClient client(clock, 0);
-    HttpRequest request;
-    request.path = path;
     HttpBounds bounds;
     bounds.deadline = clock.now() + timeout;
     bounds.bodyBytesMax = ANSWER_BYTES_MAX;
-    const HttpOutcome outcome = client.execute(endpoint, request, bounds);
+    HttpOutcome outcome = client.execute(endpoint, request, bounds);
     if (outcome.failure != HttpFailure::None)
         return fail(ResultCode::DaemonUnreachable, outcome.detail, address);
     if (outcome.response.status != 200)
         return fail(ResultCode::DaemonUnreachable,
                     "status " + std::to_string(outcome.response.status), address);
+    return std::move(outcome.response.body);
+}
+
+} // namespace
+
+Result<nlohmann::json> askDaemon(const std::string &address, const std::string &path,
+                                 Duration timeout)
+{
+    HttpRequest request;
+    request.path = path;
+    BOOST_OUTCOME_TRY(body, exchange(address, request, timeout));
     JsonOptions options;
     options.bytesMax = ANSWER_BYTES_MAX;
     options.depthMax = ANSWER_DEPTH_MAX;
     options.syntaxCode = ResultCode::DaemonUnreachable;
-    return parseJson(outcome.response.body, options);
+    return parseJson(body, options);
+}
+
+Result<void> tellDaemon(const std::string &address, const std::string &path,
+                        const std::string &query, Duration timeout)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.query = query;
+    BOOST_OUTCOME_TRY(exchange(address, request, timeout));
+    return success();
 }
 
 void printTable(const std::vector<std::vector<std::string>> &rows)
--- a/src/cli/cli_internal.h
+++ b/src/cli/cli_internal.h
@@ -54,6 +54,10 @@
 Result<nlohmann::json> askDaemon(const std::string &address, const std::string &path,
                                  Duration timeout);
 
+/** Posts to a daemon's admin address. */
+Result<void> tellDaemon(const std::string &address, const std::string &path,
+                        const std::string &query, Duration timeout);
+
 /** Prints rows with columns in line; the first row is the heading. */
 void printTable(const std::vector<std::vector<std::string>> &rows);
 
@@ -74,6 +78,9 @@
 int runStatus(const CommandOptions &options);         ///< `status`
 int runTimeline(const CommandOptions &options);       ///< `timeline`
 
+int runQuarantineList(const CommandOptions &options);    ///< `quarantine list`
+int runQuarantineRelease(const CommandOptions &options); ///< `quarantine release`
+
 /** How far a version has come. */
 struct FleetProgress
 {
--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -183,4 +183,43 @@
     return writeOut(options, lines);
 }
 
+int runQuarantineList(const CommandOptions &options)
+{
+    if (options.daemon.empty())
+        return reportError({ResultCode::UsageError, "give --daemon IP:PORT", {}});
+    const auto list = askDaemon(options.daemon, "/quarantine", ASK_TIMEOUT);
+    if (!list)
+        return reportError(list.error());
+    if (options.output == OutputForm::Json) {
+        std::cout << list.value().dump(2) << "\n";
+        return EXIT_OK;
+    }
+    std::vector<std::vector<std::string>> rows
+        = {{"FINGERPRINT", "ENTRY", "CRASHED", "AGE_MS", "REFUSED"}};
+    for (const Json &one : list.value())
+        rows.push_back({textOf(one, "fingerprint"), textOf(one, "entry"), textOf(one, "server"),
+                        textOf(one, "age_ms"), textOf(one, "refused")});
+    printTable(rows);
+    return EXIT_OK;
+}
+
+int runQuarantineRelease(const CommandOptions &options)
+{
+    if (options.daemon.empty())
+        return reportError({ResultCode::UsageError, "give --daemon IP:PORT", {}});
+    const auto members = askDaemon(options.daemon, "/members", ASK_TIMEOUT);
+    if (!members)
+        return reportError(members.error());
+    int code = EXIT_OK;
+    for (const Json &member : members.value()) {
+        if (!isLivingMember(member))
+            continue;
+        const auto told = tellDaemon(textOf(member, "admin"), "/quarantine/release",
+                                     "fingerprint=" + options.words[0], ASK_TIMEOUT);
+        if (!told)
+            code = reportError(told.error());
+    }
+    return code;
+}
+
 } // namespace cornelwell
--- a/src/control/tests/control_schedule_test.cpp
+++ b/src/control/tests/control_schedule_test.cpp
@@ -102,3 +102,11 @@
     for (std::uint64_t seed = 1; seed <= SEEDS; seed++)
         runSchedule(seed);
 }
+
+TEST_CASE("more schedules, by hand", "[.][schedules]")
+{
+    const char *const first = std::getenv("CORNELWELL_FIRST_SEED");
+    const std::uint64_t begin = first != nullptr ? std::strtoull(first, nullptr, 10) : 1;
+    for (std::uint64_t seed = begin; seed < begin + SEEDS; seed++)
+        runSchedule(seed);
+}
--- a/src/daemon/admin_handler.cpp
+++ b/src/daemon/admin_handler.cpp
@@ -8,12 +8,14 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cstdio>
+#include <charconv>
 
 namespace cornelwell {
 
 namespace {
 
+constexpr int HEXADECIMAL = 16; ///< Base of fingerprints in text.
+
 HttpResponse jsonResponse(const nlohmann::json &body)
 {
     HttpResponse response;
@@ -51,12 +53,41 @@
     if (request.method == "POST" && request.path == "/experiment/cut"
         && m_parts.settings.experimentCuts)
         return cut(request);
+    if (reading && request.path == "/quarantine")
+        return quarantine();
+    if (request.method == "POST" && request.path == "/quarantine/release")
+        return release(request);
     if (request.method == "POST" && request.path == "/drain") {
         m_drain();
         return textResponse(200, "draining\n");
     }
-    return textResponse(404,
-                        "GET /health /metrics /status /members /timeline /entries, POST /drain\n");
+    return textResponse(404, "GET /health /metrics /status /members /timeline /entries "
+                             "/quarantine, POST /drain /quarantine/release\n");
+}
+
+HttpResponse AdminHandler::quarantine()
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const CrashReport &report : m_parts.loop.status().crashes) {
+        list.push_back({{"fingerprint", hex64(report.fingerprint)},
+                        {"entry", report.entry.text()},
+                        {"server", report.server.text()},
+                        {"age_ms", report.age.ms},
+                        {"refused", m_parts.view.isQuarantined(report.fingerprint)}});
+    }
+    return jsonResponse(list);
+}
+
+HttpResponse AdminHandler::release(const HttpRequest &request)
+{
+    const std::string text = queryValue(request.query, "fingerprint");
+    std::uint64_t fingerprint = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, fingerprint, HEXADECIMAL);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return textResponse(400, "give ?fingerprint=, 16 hexadecimal digits\n");
+    m_parts.loop.releaseQuarantine(fingerprint);
+    return textResponse(200, "released\n");
 }
 
 HttpResponse AdminHandler::cut(const HttpRequest &request)
--- a/src/daemon/admin_handler.h
+++ b/src/daemon/admin_handler.h
@@ -43,6 +43,8 @@
     HttpResponse members();
     HttpResponse timeline() const;
     HttpResponse entries() const;
+    HttpResponse quarantine();
+    HttpResponse release(const HttpRequest &request);
     HttpResponse cut(const HttpRequest &request);
 
     const AdminParts m_parts;
