--- a/src/catalogue/configuration.cpp
+++ b/src/catalogue/configuration.cpp
@@ -128,15 +128,6 @@
     return nullptr;
 }
 
-bool Configuration::hasService(const ServiceName &service) const
-{
-    for (const auto &item : m_entries) {
-        if (item.second.entry.service == service)
-            return true;
-    }
-    return false;
-}
-
 Result<void> Configuration::addRoutes()
 {
     for (const auto &item : m_entries) {
--- a/src/catalogue/configuration.h
+++ b/src/catalogue/configuration.h
@@ -62,9 +62,6 @@
      */
     const EntryInForce *match(std::string_view method, std::string_view path) const;
 
-    /** @return true when some entry is of this service. */
-    bool hasService(const ServiceName &service) const;
-
 private:
     /** Routes by method and number of segments, so that a look-up compares few patterns. */
     struct Route
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -34,14 +34,6 @@
     m_targets = std::move(next);
 }
 
-std::uint32_t Router::slots() const
-{
-    std::uint32_t slots = 0;
-    for (const auto &item : m_targets)
-        slots += item.second.target.slots;
-    return slots;
-}
-
 double Router::weightOf(const State &state, TimePoint now) const
 {
     const std::int64_t age = (now - state.target.readySince).ms;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -38,12 +38,6 @@
     void finished(const ServerId &id, TargetOutcome outcome, const std::optional<LoadReport> &load,
                   TimePoint now);
 
-    /** @return servers known. */
-    std::size_t size() const { return m_targets.size(); }
-
-    /** @return slots of all servers known. */
-    std::uint32_t slots() const;
-
 private:
     /** What this daemon knows of a server beside its announcement. */
     struct State
