--- a/src/distribution/tests/distribution_test.cpp
+++ b/src/distribution/tests/distribution_test.cpp
@@ -20,8 +20,12 @@
     FakeStore store;
     std::vector<StoredObject> heads;
     for (int i = 0; i < count; i++) {
-        const Change change = sampleChange(ChangeKind::Propose, sampleEntry("e" + std::to_string(i)));
-        CatalogueWriter(store, [](Duration) {}, 1).accept(change, false).value();
+        const Change change
+            = sampleChange(ChangeKind::Propose, sampleEntry("e" + std::to_string(i)));
+        CatalogueWriter(
+            store, [](Duration) {}, 1)
+            .accept(change, false)
+            .value();
         heads.push_back(store.peek(CATALOGUE_HEAD_OBJECT));
     }
     return heads;
@@ -93,3 +97,13 @@
     distribution.tick(START + seconds(3));
     CHECK(distribution.current()->revision() == 3);
 }
+
+TEST_CASE("an older snapshot of a peer changes nothing", "[distribution]")
+{
+    Distribution distribution(DistributionOptions(), 1);
+    distribution.linkOpened(7);
+    CHECK(appliedIn(distribution.receive(7, SnapshotMessage{5, {}, {}}, START)) == 5);
+    CHECK(appliedIn(distribution.receive(7, SnapshotMessage{4, {}, {}}, START)) == 0);
+    CHECK(appliedIn(distribution.receive(7, SnapshotMessage{5, {}, {}}, START)) == 0);
+    CHECK(distribution.current()->revision() == 5);
+}
