--- a/bench/calls_command.cpp
+++ b/bench/calls_command.cpp
@@ -6,7 +6,7 @@
 #include "base/hash_func.h"
 #include "catalogue/entry_func.h"
 #include "distribution/catalogue_writer.h"
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
--- a/bench/distribution_command.cpp
+++ b/bench/distribution_command.cpp
@@ -8,7 +8,7 @@
 #include "base/random.h"
 #include "catalogue/entry_func.h"
 #include "distribution/catalogue_writer.h"
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 #include "timeline/timeline_func.h"
 
 #include <cxxopts.hpp>
--- a/src/base/result_code_type.h
+++ b/src/base/result_code_type.h
@@ -39,6 +39,8 @@
     CatalogueFormat = 215,        ///< An object of the catalogue cannot be read.
     VersionGap = 216,             ///< Changes do not follow on the version held.
     VersionOlder = 217,           ///< An older version than the one in force.
+    RouteInvalid = 218,           ///< A document of routes with a fault.
+    RouteDanglingService = 219,   ///< A route names a service that its version lacks.
 
     PlatformNotExecuted = 300, ///< The platform's service was not reached; nothing was done.
     PlatformUnknown = 301,     ///< The answer was lost; the call may have taken effect.
@@ -46,6 +48,7 @@
     PlatformThrottled = 303,   ///< Too many calls; nothing was done.
     PlatformNotFound = 304,    ///< No such object.
     PlatformProtocol = 305,    ///< An answer that cannot be understood.
+    PlatformHistoryGone = 306, ///< Changes since the revision are not kept any more.
 
     PeerMalformed = 400,   ///< A message that cannot be decoded.
     PeerVersion = 401,     ///< No message format version in common.
--- a/src/cli/cli_func.cpp
+++ b/src/cli/cli_func.cpp
@@ -5,7 +5,7 @@
 #include "base/json_func.h"
 #include "base/result_code_func.h"
 #include "http/http_client.h"
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 #include "settings/settings_func.h"
 
 #include <nlohmann/json.hpp>
--- a/src/cli/cli_internal.h
+++ b/src/cli/cli_internal.h
@@ -4,7 +4,7 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "http/http_type.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,7 +6,7 @@
 #include "daemon/control_loop.h"
 #include "http/http_server.h"
 #include "log/log.h"
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 #include "proxy/call_handlers.h"
 
 #include <sys/socket.h>
--- a/src/delivery/claim_func.h
+++ b/src/delivery/claim_func.h
@@ -3,7 +3,7 @@
 
 #include "base/result.h"
 #include "delivery/delivery_type.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <string>
 
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,100 @@
+/** @file dispatcher.h Choice of server, repeats and the final answer of callers' requests. */
+#pragma once
+
+#include "dispatch/dispatch_type.h"
+#include "dispatch/server_choice.h"
+#include "retry/service_budget.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace cornelwell {
+
+/** Bounds of the dispatch. */
+struct DispatchOptions
+{
+    unsigned offersMax = 4;            ///< Daemons asked for one handing over.
+    Duration refusalMemory = {400};    ///< A server without room is avoided for this long.
+    Duration retryAfter = {150};       ///< Advice when nothing better is known.
+    ChoiceOptions choice;              ///< Weights of the choice.
+};
+
+/** Events in, actions out; no input and output. */
+class Dispatcher
+{
+public:
+    /**
+     * @param table Beliefs about peers; their counts of calls under way are kept here.
+     * @param budget Repeats.
+     * @param localLoad Gives the load of the server beside this daemon.
+     * @param options Bounds.
+     * @param seed Of the jitter.
+     */
+    Dispatcher(PeerTable &table, ServiceBudget &budget, std::function<HostLoad()> localLoad,
+               DispatchOptions options, std::uint64_t seed);
+
+    /** A request begins. */
+    DispatchActions begin(FlightId flight, FlightPlan plan, TimePoint now);
+    /** An offer ended. */
+    DispatchActions ended(OfferId offer, const HostOutcome &outcome, TimePoint now);
+    /** The link to a daemon broke. */
+    DispatchActions linkLost(const ServerId &daemon, TimePoint now);
+    /**
+     * The link to a daemon is open again.
+     * @param restarted The daemon has started anew meanwhile and knows nothing of its offers.
+     */
+    DispatchActions linkOpened(const ServerId &daemon, bool restarted, TimePoint now);
+    /** The caller left. */
+    DispatchActions callerLeft(FlightId flight, TimePoint now);
+    /** The request's time is over. */
+    DispatchActions timedOut(FlightId flight, TimePoint now);
+    /** Ends every request that is left: the process stops. */
+    DispatchActions endAll(TimePoint now);
+    /** @return the plan of a request, or null. */
+    const FlightPlan *plan(FlightId flight) const;
+    /** @return requests under way. */
+    std::size_t underWay() const { return m_flights.size(); }
+
+private:
+    /** A request under way. */
+    struct Flight
+    {
+        FlightPlan plan;
+        OfferId offer = 0;           ///< The open offer; 0 between offers.
+        ServerId daemon;             ///< Where it is.
+        bool lost = false;           ///< The link broke under it.
+        unsigned handed = 0;         ///< Servers that received it.
+        unsigned offers = 0;         ///< Daemons asked since it was handed to a server.
+        bool unknown = false;        ///< It may have been run by a server.
+        std::set<ServerId> refused;  ///< Daemons that had no room.
+        Duration retryAfter{0};      ///< Shortest advice heard.
+        HostReason reason = HostReason::None; ///< Why the last offer failed.
+        std::optional<HttpResponse> failure;  ///< The last failure that a server answered.
+    };
+    using Flights = std::unordered_map<FlightId, Flight>;
+
+    void place(FlightId id, Flight &flight, TimePoint now, DispatchActions &actions);
+    void closeOffer(Flight &flight);
+    void notRun(FlightId id, Flight &flight, const HostOutcome &outcome, TimePoint now,
+                DispatchActions &actions);
+    void failed(FlightId id, Flight &flight, const HostOutcome &outcome, TimePoint now,
+                DispatchActions &actions);
+    bool mayRepeat(const Flight &flight, TimePoint now) const;
+    void refuse(FlightId id, const Flight &flight, TimePoint now, DispatchActions &actions);
+    void answerOwn(FlightId id, int status, HostReason reason, Duration retryAfter,
+                   DispatchActions &actions);
+    void cancelOpen(Flight &flight, DispatchActions &actions);
+    void learnSize(const Flight &flight, const HttpResponse &response);
+
+    PeerTable &m_table;
+    ServiceBudget &m_budget;
+    std::function<HostLoad()> m_localLoad;
+    const DispatchOptions m_options;
+    Random m_random;
+    Flights m_flights;
+    std::unordered_map<OfferId, FlightId> m_offers;
+    std::unordered_map<std::string, double> m_kilobytes; ///< Mean size of a route's answers.
+    OfferId m_lastOffer = 0;
+};
+
+} // namespace cornelwell
--- a/src/distribution/catalogue_writer.h
+++ b/src/distribution/catalogue_writer.h
@@ -5,7 +5,7 @@
 #include "base/result.h"
 #include "catalogue/configuration.h"
 #include "catalogue/head_func.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <functional>
 
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -3,7 +3,7 @@
 
 #include "base/random.h"
 #include "distribution/distribution_type.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <deque>
 #include <map>
--- /dev/null
+++ b/src/exchange/answer_reader.h
@@ -0,0 +1,56 @@
+/** @file answer_reader.h Answers out of the bytes of a connection to a server. */
+#pragma once
+
+#include "http/http_type.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cornelwell {
+
+/** How far the reader of an answer is. */
+enum class AnswerStep : std::uint8_t
+{
+    NeedMore, ///< No whole answer yet.
+    Complete, ///< An answer is whole.
+    Failed,   ///< The bytes are no answer.
+};
+
+/** Takes bytes, gives whole answers. No input and output. */
+class AnswerReader
+{
+public:
+    AnswerReader();
+    ~AnswerReader();
+
+    /** Begins with the answer to a request. @param method Method of the request. */
+    void expect(std::string_view method);
+    /** Takes in bytes. */
+    void feed(std::string_view bytes) { m_buffer.append(bytes); }
+    /** Parses on. */
+    AnswerStep step();
+    /** The other side closed in order: an answer without a length is whole now. */
+    AnswerStep finish();
+    /** @return the whole answer, once, after Complete. */
+    HttpResponse take();
+    /** @return true when the connection may carry another request after this answer. */
+    bool keepAlive() const { return m_keepAlive; }
+    /** @return true when bytes lie behind the answer, or before any was expected. */
+    bool hasExtraBytes() const { return !m_buffer.empty(); }
+    /** @return true when a byte of the answer has come. */
+    bool begun() const { return m_begun; }
+
+private:
+    struct Parser;
+
+    void begin();
+
+    std::string m_buffer;
+    std::string m_method;
+    std::unique_ptr<Parser> m_parser;
+    bool m_begun = false;
+    bool m_keepAlive = false;
+};
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/hosting/host_gate.cpp
@@ -0,0 +1,247 @@
+/** @file host_gate.cpp Order of reports, slots, and a queue bounded by what can end in time. */
+#include "hosting/host_gate.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr double WORK_SMOOTHING = 0.1;     ///< Weight of a new measurement of work.
+constexpr double FAIL_SMOOTHING = 0.05;    ///< Weight of a new result.
+constexpr double LEAST_OF_WORK = 0.4;      ///< With less of the usual time left a call is not begun.
+constexpr std::size_t ROUTES_MAX = 1024;   ///< Routes whose time is remembered.
+constexpr std::size_t GONE_MAX = 64;       ///< Servers that left, remembered.
+
+constexpr const char *REASON_NAMES[]
+    = {"none",        "full",        "too_late",         "no_server",      "server_draining",
+       "daemon_leaving", "server_shed", "instance_changed", "connect_failed", "broken",
+       "garbled",     "crashed",     "link_lost",        "cancelled",      "quarantined",
+       "forgotten"};
+static_assert(std::size(REASON_NAMES) == static_cast<std::size_t>(HostReason::Count),
+              "a name for each reason");
+
+void smooth(double &mean, double sample, double weight)
+{
+    mean = mean == 0 ? sample : mean + weight * (sample - mean);
+}
+
+} // namespace
+
+const char *hostReasonName(HostReason reason)
+{
+    return REASON_NAMES[static_cast<std::size_t>(reason)];
+}
+
+bool HostGate::isNewer(const ServerReport &report) const
+{
+    const auto gone = m_gone.find(report.instance);
+    if (gone != m_gone.end() && report.born <= gone->second)
+        return false;
+    if (m_server.instance.empty())
+        return true;
+    if (report.born != m_server.born)
+        return report.born > m_server.born;
+    return report.instance != m_server.instance || report.sequence > m_server.sequence;
+}
+
+HostDecisions HostGate::report(const ServerReport &report, TimePoint now)
+{
+    if (!isNewer(report))
+        return {};
+    if (report.instance != m_server.instance || report.born != m_server.born) {
+        m_failShare = 0;
+        m_workMs.clear();
+        m_meanMs = 0;
+    }
+    m_server = report;
+    m_coldUntil = now + report.coldLeft;
+    m_state = report.draining ? HostState::Draining : HostState::Ready;
+    if (m_state == HostState::Draining)
+        return refuseAll(HostReason::ServerDraining);
+    return startWaiting(now);
+}
+
+HostDecisions HostGate::leave(const std::string &instance, std::int64_t born, TimePoint now)
+{
+    const bool current = instance == m_server.instance && (born == 0 || born >= m_server.born);
+    if (m_gone.size() >= GONE_MAX)
+        m_gone.erase(m_gone.begin());
+    m_gone[instance] = std::max({m_gone[instance], born, current ? m_server.born : 0});
+    if (!current)
+        return {};
+    m_state = HostState::Draining;
+    (void)now;
+    return refuseAll(HostReason::ServerDraining);
+}
+
+HostDecisions HostGate::serverDown(TimePoint now)
+{
+    (void)now;
+    if (m_state == HostState::Ready)
+        m_state = HostState::Down;
+    return refuseAll(HostReason::ConnectFailed);
+}
+
+HostDecisions HostGate::instanceChanged(TimePoint now)
+{
+    (void)now;
+    m_state = HostState::None;
+    return refuseAll(HostReason::InstanceChanged);
+}
+
+HostDecisions HostGate::beginLeaving(TimePoint now)
+{
+    (void)now;
+    m_leaving = true;
+    return refuseAll(HostReason::DaemonLeaving);
+}
+
+HostDecisions HostGate::refuseAll(HostReason reason)
+{
+    HostDecisions decisions;
+    for (const auto &[key, call] : m_queue)
+        decisions.push_back(refuse(call.id, reason, {0}));
+    m_queue.clear();
+    return decisions;
+}
+
+HostDecision HostGate::refuse(HostCallId id, HostReason reason, Duration wait) const
+{
+    return {id, HostVerdict::Refuse, reason,
+            {std::max(m_options.retryAfterMin.ms, wait.ms)}};
+}
+
+double HostGate::workMs(const std::string &route) const
+{
+    const auto found = m_workMs.find(route);
+    if (found != m_workMs.end())
+        return found->second;
+    return m_meanMs > 0 ? m_meanMs : m_options.firstWorkMs;
+}
+
+Duration HostGate::waitFor(unsigned rank) const
+{
+    const auto behind = m_queue.lower_bound(QueueKey{rank + 1, 0});
+    const auto ahead = static_cast<std::size_t>(std::distance(m_queue.begin(), behind));
+    const std::size_t busy = m_running.size() + ahead + 1;
+    if (busy <= m_server.slots || m_server.slots == 0)
+        return {0};
+    const double mean = m_meanMs > 0 ? m_meanMs : m_options.firstWorkMs;
+    return {static_cast<std::int64_t>(static_cast<double>(busy - m_server.slots) * mean
+                                      / m_server.slots)};
+}
+
+HostReason HostGate::refusal(const HostCall &call, TimePoint now) const
+{
+    if (m_leaving)
+        return HostReason::DaemonLeaving;
+    if (m_state == HostState::Draining)
+        return HostReason::ServerDraining;
+    if (m_state != HostState::Ready)
+        return HostReason::NoServer;
+    if (!call.instance.empty() && call.instance != m_server.instance)
+        return HostReason::InstanceChanged;
+    const double work = workMs(call.route);
+    const Duration least{static_cast<std::int64_t>(work * LEAST_OF_WORK)};
+    if (now + least > call.deadline)
+        return HostReason::TooLate;
+    const Duration wait = waitFor(call.rank);
+    if (wait.ms == 0)
+        return HostReason::None;
+    const Duration whole = wait + Duration{static_cast<std::int64_t>(work)};
+    if (m_queue.size() >= m_options.queueMax || now + whole > call.deadline)
+        return HostReason::Full;
+    // Those that were refused before are kept past the goal: a second refusal costs most.
+    if (!call.returning && now + whole > call.goal)
+        return HostReason::Full;
+    return HostReason::None;
+}
+
+HostDecisions HostGate::offer(const HostCall &call, TimePoint now)
+{
+    const HostReason reason = refusal(call, now);
+    if (reason != HostReason::None)
+        return {refuse(call.id, reason, waitFor(call.rank))};
+    m_queue.emplace(QueueKey{call.rank, call.id}, call);
+    return startWaiting(now);
+}
+
+HostDecisions HostGate::startWaiting(TimePoint now)
+{
+    HostDecisions decisions;
+    while (m_state == HostState::Ready && !m_queue.empty() && m_running.size() < m_server.slots) {
+        const auto first = m_queue.begin();
+        HostCall call = std::move(first->second);
+        m_queue.erase(first);
+        const Duration least{static_cast<std::int64_t>(workMs(call.route) * LEAST_OF_WORK)};
+        if (now + least > call.deadline) {
+            decisions.push_back(refuse(call.id, HostReason::TooLate, {0}));
+            continue;
+        }
+        decisions.push_back({call.id, HostVerdict::Start, HostReason::None, {0}});
+        m_running.emplace(call.id, std::move(call));
+    }
+    return decisions;
+}
+
+HostDecisions HostGate::finished(HostCallId id, HostFinish how, Duration work, TimePoint now)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end())
+        return {};
+    if (how == HostFinish::Served) {
+        if (m_workMs.size() >= ROUTES_MAX)
+            m_workMs.clear();
+        smooth(m_workMs[found->second.route], static_cast<double>(work.ms), WORK_SMOOTHING);
+        smooth(m_meanMs, static_cast<double>(work.ms), WORK_SMOOTHING);
+    }
+    if (how != HostFinish::Cancelled)
+        m_failShare += FAIL_SMOOTHING * ((how == HostFinish::Served ? 0.0 : 1.0) - m_failShare);
+    m_running.erase(found);
+    return startWaiting(now);
+}
+
+bool HostGate::withdraw(HostCallId id)
+{
+    const auto found = std::find_if(m_queue.begin(), m_queue.end(),
+                                    [&](const auto &item) { return item.first.second == id; });
+    if (found == m_queue.end())
+        return false;
+    m_queue.erase(found);
+    return true;
+}
+
+HostDecisions HostGate::tick(TimePoint now)
+{
+    HostDecisions decisions;
+    for (auto item = m_queue.begin(); item != m_queue.end();) {
+        const Duration least{
+            static_cast<std::int64_t>(workMs(item->second.route) * LEAST_OF_WORK)};
+        if (now + least <= item->second.deadline) {
+            ++item;
+            continue;
+        }
+        decisions.push_back(refuse(item->second.id, HostReason::TooLate, {0}));
+        item = m_queue.erase(item);
+    }
+    return decisions;
+}
+
+HostLoad HostGate::load(TimePoint now) const
+{
+    HostLoad load;
+    load.instance = m_server.instance;
+    load.service = m_server.service;
+    load.state = m_leaving && m_state == HostState::Ready ? HostState::Draining : m_state;
+    load.slots = m_server.slots;
+    load.running = static_cast<unsigned>(m_running.size());
+    load.queued = static_cast<unsigned>(m_queue.size());
+    load.workMs = m_meanMs;
+    load.failShare = m_failShare;
+    load.cold = now < m_coldUntil;
+    return load;
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/hosting/host_gate.h
@@ -0,0 +1,84 @@
+/** @file host_gate.h Which server is beside this daemon, and which calls it gets: the decision. */
+#pragma once
+
+#include "hosting/hosting_type.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace cornelwell {
+
+/** Sizes of the gate. */
+struct HostOptions
+{
+    std::size_t queueMax = 256;        ///< Calls that wait.
+    double firstWorkMs = 150;          ///< Time of a request until one was measured.
+    Duration retryAfterMin = {60};     ///< Shortest advice.
+};
+
+/** Events in, decisions out; no input and output. It alone knows the truth about its server. */
+class HostGate
+{
+public:
+    explicit HostGate(HostOptions options) : m_options(options) {}
+
+    /**
+     * The server beside this daemon reports.
+     * @return decisions about waiting calls; none for a report that is older than what is known.
+     */
+    HostDecisions report(const ServerReport &report, TimePoint now);
+    /** A server says that it is gone; nothing is handed to it from now on. */
+    HostDecisions leave(const std::string &instance, std::int64_t born, TimePoint now);
+    /** The server does not accept connections. */
+    HostDecisions serverDown(TimePoint now);
+    /** Another server than the known one answered. */
+    HostDecisions instanceChanged(TimePoint now);
+    /** The daemon is about to stop: nothing new is taken. */
+    HostDecisions beginLeaving(TimePoint now);
+
+    /** A call arrives; no decision means that it waits. */
+    HostDecisions offer(const HostCall &call, TimePoint now);
+    /** A call that was handed over ended. @param work Time at the server. */
+    HostDecisions finished(HostCallId id, HostFinish how, Duration work, TimePoint now);
+    /** A waiting call is given up. @return true when it was waiting. */
+    bool withdraw(HostCallId id);
+    /** Time passes: refuses what can no longer end in time. */
+    HostDecisions tick(TimePoint now);
+
+    /** @return what peers are told. */
+    HostLoad load(TimePoint now) const;
+    /** @return the server's identity; empty when none is known. */
+    const std::string &instance() const { return m_server.instance; }
+    /** @return the server's address. */
+    const Endpoint &address() const { return m_server.address; }
+    /** @return calls that wait. */
+    std::size_t waiting() const { return m_queue.size(); }
+    /** @return calls at the server. */
+    std::size_t running() const { return m_running.size(); }
+
+private:
+    using QueueKey = std::pair<unsigned, HostCallId>;
+
+    bool isNewer(const ServerReport &report) const;
+    HostDecisions refuseAll(HostReason reason);
+    HostDecisions startWaiting(TimePoint now);
+    double workMs(const std::string &route) const;
+    Duration waitFor(unsigned rank) const;
+    HostReason refusal(const HostCall &call, TimePoint now) const;
+    HostDecision refuse(HostCallId id, HostReason reason, Duration wait) const;
+
+    const HostOptions m_options;
+    ServerReport m_server;
+    HostState m_state = HostState::None;
+    bool m_leaving = false;
+    TimePoint m_coldUntil{0};
+    std::map<std::string, std::int64_t> m_gone; ///< Servers that left, with their start.
+    std::map<QueueKey, HostCall> m_queue;
+    std::unordered_map<HostCallId, HostCall> m_running;
+    std::unordered_map<std::string, double> m_workMs; ///< Mean time by route.
+    double m_meanMs = 0;
+    double m_failShare = 0;
+};
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/link/link_codec.cpp
@@ -0,0 +1,276 @@
+/** @file link_codec.cpp CBOR arrays by nlohmann-json; the first element is the kind. */
+#include "link/link_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelwell {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t LENGTH_BYTES = 4;
+constexpr std::size_t COMPACT_BYTES = 65536; ///< Bytes read are dropped from the buffer beyond this.
+
+/** Kinds of message, as they stand on the wire; the order of LinkMessage. */
+enum class Kind : std::uint8_t
+{
+    Hello,
+    State,
+    Call,
+    Cancel,
+    Ask,
+    Result,
+    Routes,
+    Crash,
+    Members,
+    Count,
+};
+static_assert(std::variant_size_v<LinkMessage> == static_cast<std::size_t>(Kind::Count),
+              "a kind for each message");
+
+Json binary(const std::string &text)
+{
+    return Json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
+}
+
+std::string textOf(const Json &value)
+{
+    const auto &bytes = value.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+Json toJson(const HttpHeaders &headers)
+{
+    Json list = Json::array();
+    for (const HttpHeader &field : headers.fields()) {
+        list.push_back(binary(field.name));
+        list.push_back(binary(field.value));
+    }
+    return list;
+}
+
+HttpHeaders headersOf(const Json &list)
+{
+    HttpHeaders headers;
+    for (std::size_t i = 0; i + 1 < list.size(); i += 2)
+        headers.add(textOf(list[i]), textOf(list[i + 1]));
+    return headers;
+}
+
+Json toJson(const HostLoad &load)
+{
+    return {load.instance, load.service.text(), static_cast<unsigned>(load.state), load.slots,
+            load.running,  load.queued,         static_cast<int>(load.workMs * 10),
+            static_cast<int>(load.failShare * 1000), load.cold};
+}
+
+HostLoad loadOf(const Json &list)
+{
+    HostLoad load;
+    load.instance = list.at(0).get<std::string>();
+    load.service = ServiceName(list.at(1).get<std::string>());
+    load.state = static_cast<HostState>(list.at(2).get<unsigned>() % static_cast<unsigned>(HostState::Count));
+    load.slots = list.at(3).get<unsigned>();
+    load.running = list.at(4).get<unsigned>();
+    load.queued = list.at(5).get<unsigned>();
+    load.workMs = list.at(6).get<int>() / 10.0;
+    load.failShare = list.at(7).get<int>() / 1000.0;
+    load.cold = list.at(8).get<bool>();
+    return load;
+}
+
+Json toJson(const DaemonRecord &record)
+{
+    return {record.name.text(), record.dataCentre.text(), record.link.ip, record.link.port,
+            record.service.text(), record.incarnation};
+}
+
+DaemonRecord recordOf(const Json &list)
+{
+    DaemonRecord record;
+    record.name = ServerId(list.at(0).get<std::string>());
+    record.dataCentre = DataCentreId(list.at(1).get<std::string>());
+    record.link = {list.at(2).get<std::string>(), list.at(3).get<std::uint16_t>()};
+    record.service = ServiceName(list.at(4).get<std::string>());
+    record.incarnation = list.at(5).get<std::uint64_t>();
+    return record;
+}
+
+struct Encoder
+{
+    Json operator()(const LinkHello &m) const
+    {
+        return {Kind::Hello, m.format, toJson(m.daemon), m.version};
+    }
+    Json operator()(const LinkState &m) const
+    {
+        return {Kind::State,  m.name.text(),   m.incarnation, toJson(m.load),
+                m.version,    m.storeAge.ms,   m.leaving};
+    }
+    Json operator()(const LinkCall &m) const
+    {
+        return {Kind::Call,  m.offer,       binary(m.request.method), binary(m.request.path),
+                toJson(m.request.headers),  binary(m.request.body),   binary(m.requestId),
+                m.route,     m.instance,    m.rank,                   m.timeLeft.ms,
+                m.goalLeft.ms, m.idempotent, m.returning,             m.fingerprint};
+    }
+    Json operator()(const LinkCancel &m) const { return {Kind::Cancel, m.offer}; }
+    Json operator()(const LinkAsk &m) const { return {Kind::Ask, m.offer}; }
+    Json operator()(const LinkResult &m) const
+    {
+        return {Kind::Result,
+                m.offer,
+                static_cast<unsigned>(m.outcome.state),
+                static_cast<unsigned>(m.outcome.reason),
+                m.outcome.handed,
+                m.outcome.retryAfter.ms,
+                m.outcome.response.status,
+                toJson(m.outcome.response.headers),
+                binary(m.outcome.response.body),
+                toJson(m.load)};
+    }
+    Json operator()(const LinkRoutes &m) const { return {Kind::Routes, m.version, binary(m.text)}; }
+    Json operator()(const LinkCrash &m) const
+    {
+        return {Kind::Crash, m.report.fingerprint, m.report.server.text(), m.report.sequence,
+                m.report.entry.text(), m.report.age.ms};
+    }
+    Json operator()(const LinkMembers &m) const
+    {
+        Json list = Json::array();
+        for (const DaemonRecord &record : m.daemons)
+            list.push_back(toJson(record));
+        return {Kind::Members, list};
+    }
+};
+
+LinkCall callOf(const Json &list)
+{
+    LinkCall m;
+    m.offer = list.at(1).get<OfferId>();
+    m.request.method = textOf(list.at(2));
+    m.request.path = textOf(list.at(3));
+    m.request.headers = headersOf(list.at(4));
+    m.request.body = textOf(list.at(5));
+    m.requestId = textOf(list.at(6));
+    m.route = list.at(7).get<std::string>();
+    m.instance = list.at(8).get<std::string>();
+    m.rank = list.at(9).get<unsigned>();
+    m.timeLeft = {list.at(10).get<std::int64_t>()};
+    m.goalLeft = {list.at(11).get<std::int64_t>()};
+    m.idempotent = list.at(12).get<bool>();
+    m.returning = list.at(13).get<bool>();
+    m.fingerprint = list.at(14).get<std::uint64_t>();
+    return m;
+}
+
+LinkResult resultOf(const Json &list)
+{
+    LinkResult m;
+    m.offer = list.at(1).get<OfferId>();
+    m.outcome.state
+        = static_cast<RunState>(list.at(2).get<unsigned>() % static_cast<unsigned>(RunState::Count));
+    m.outcome.reason = static_cast<HostReason>(list.at(3).get<unsigned>()
+                                               % static_cast<unsigned>(HostReason::Count));
+    m.outcome.handed = list.at(4).get<bool>();
+    m.outcome.retryAfter = {list.at(5).get<std::int64_t>()};
+    m.outcome.response.status = list.at(6).get<int>();
+    m.outcome.response.headers = headersOf(list.at(7));
+    m.outcome.response.body = textOf(list.at(8));
+    m.load = loadOf(list.at(9));
+    return m;
+}
+
+LinkMessage messageOf(const Json &list)
+{
+    switch (static_cast<Kind>(list.at(0).get<unsigned>())) {
+    case Kind::Hello:
+        return LinkHello{list.at(1).get<unsigned>(), recordOf(list.at(2)),
+                         list.at(3).get<Revision>()};
+    case Kind::State:
+        return LinkState{ServerId(list.at(1).get<std::string>()),
+                         list.at(2).get<std::uint64_t>(),
+                         loadOf(list.at(3)),
+                         list.at(4).get<Revision>(),
+                         {list.at(5).get<std::int64_t>()},
+                         list.at(6).get<bool>()};
+    case Kind::Call:
+        return callOf(list);
+    case Kind::Cancel:
+        return LinkCancel{list.at(1).get<OfferId>()};
+    case Kind::Ask:
+        return LinkAsk{list.at(1).get<OfferId>()};
+    case Kind::Result:
+        return resultOf(list);
+    case Kind::Routes:
+        return LinkRoutes{list.at(1).get<Revision>(), textOf(list.at(2))};
+    case Kind::Crash:
+        return LinkCrash{{list.at(1).get<std::uint64_t>(), ServerId(list.at(2).get<std::string>()),
+                          list.at(3).get<std::uint64_t>(), EntryName(list.at(4).get<std::string>()),
+                          Duration{list.at(5).get<std::int64_t>()}}};
+    case Kind::Members: {
+        LinkMembers m;
+        for (const Json &item : list.at(1))
+            m.daemons.push_back(recordOf(item));
+        return m;
+    }
+    case Kind::Count:
+        break;
+    }
+    throw std::out_of_range("unknown kind of message");
+}
+
+} // namespace
+
+std::string encodeLinkMessage(const LinkMessage &message)
+{
+    std::string bytes(LENGTH_BYTES, '\0');
+    Json::to_cbor(std::visit(Encoder{}, message), bytes);
+    const std::size_t size = bytes.size() - LENGTH_BYTES;
+    for (std::size_t i = 0; i < LENGTH_BYTES; i++)
+        bytes[i] = static_cast<char>(size >> (8 * (LENGTH_BYTES - 1 - i)) & 0xff);
+    return bytes;
+}
+
+Result<LinkMessage> decodeLinkMessage(std::string_view bytes)
+{
+    try {
+        return messageOf(Json::from_cbor(bytes.begin(), bytes.end()));
+    } catch (const std::exception &error) {
+        return fail(ResultCode::PeerMalformed, error.what());
+    }
+}
+
+std::size_t LinkReader::length() const
+{
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < LENGTH_BYTES; i++)
+        size = size << 8 | static_cast<unsigned char>(m_buffer[m_begin + i]);
+    return size;
+}
+
+bool LinkReader::ready() const
+{
+    if (m_buffer.size() - m_begin < LENGTH_BYTES)
+        return false;
+    const std::size_t size = length();
+    return size > LINK_MESSAGE_BYTES_MAX || m_buffer.size() - m_begin >= LENGTH_BYTES + size;
+}
+
+Result<LinkMessage> LinkReader::next()
+{
+    const std::size_t size = length();
+    if (size > LINK_MESSAGE_BYTES_MAX)
+        return fail(ResultCode::PeerTooLarge, "a message over the size limit");
+    const std::string_view all(m_buffer);
+    Result<LinkMessage> message = decodeLinkMessage(all.substr(m_begin + LENGTH_BYTES, size));
+    m_begin += LENGTH_BYTES + size;
+    if (m_begin == m_buffer.size() || m_begin > COMPACT_BYTES) {
+        m_buffer.erase(0, m_begin);
+        m_begin = 0;
+    }
+    return message;
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/loop/tcp_connection.cpp
@@ -0,0 +1,284 @@
+/** @file tcp_connection.cpp Connections and listeners on Boost.Asio. */
+#include "loop/tcp_connection.h"
+
+#include "base/endpoint_func.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <netinet/tcp.h>
+
+#include <array>
+#include <deque>
+
+namespace cornelwell {
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::size_t READ_BYTES = 8192;       ///< Bytes read at once.
+constexpr int BACKLOG = 1024;                  ///< Connections that wait to be accepted.
+constexpr unsigned SILENT_PEER_MS = 4000;      ///< Unacknowledged bytes end a connection after this.
+constexpr std::size_t ACCEPTS_AT_ONCE = 64;    ///< Connections taken in for one wake-up.
+
+using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+ConnectionEnd endOf(const ErrorCode &error)
+{
+    return error == boost::asio::error::eof ? ConnectionEnd::Eof : ConnectionEnd::Reset;
+}
+
+} // namespace
+
+class TcpConnection::Impl
+{
+public:
+    Impl(EventLoop &eventLoop, Tcp::socket &&taken) : loop(eventLoop), socket(std::move(taken)) {}
+
+    EventLoop &loop;
+    Tcp::socket socket;
+    ConnectionHandler *handler = nullptr;
+    std::array<char, READ_BYTES> input;
+    std::deque<std::string> output;
+    std::size_t outputBytes = 0;
+    std::size_t sentOfFirst = 0;
+    TimerId connectTimer = 0;
+    bool connecting = false;
+    bool writing = false;
+    bool closing = false;
+    bool open = true;
+};
+
+TcpConnection::TcpConnection(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+TcpConnection::~TcpConnection() = default;
+
+TcpConnectionPtr TcpConnection::open(EventLoop &loop, const Endpoint &to, Duration timeout,
+                                     ConnectionHandler &handler)
+{
+    auto connection = std::make_shared<TcpConnection>(
+        std::make_unique<Impl>(loop, Tcp::socket(loop.context())));
+    Impl &impl = *connection->m_impl;
+    impl.handler = &handler;
+    impl.connecting = true;
+    ErrorCode bad;
+    const auto address = boost::asio::ip::make_address(to.ip, bad);
+    impl.connectTimer = loop.after(timeout, [weak = std::weak_ptr<TcpConnection>(connection)] {
+        if (const auto self = weak.lock())
+            self->finish(ConnectionEnd::Timeout);
+    });
+    impl.socket.async_connect({address, to.port}, [connection](const ErrorCode &error) {
+        Impl &own = *connection->m_impl;
+        if (!own.open)
+            return;
+        own.loop.cancel(own.connectTimer);
+        if (error) {
+            connection->finish(error == boost::asio::error::connection_refused
+                                   ? ConnectionEnd::Refused
+                                   : ConnectionEnd::Reset);
+            return;
+        }
+        own.connecting = false;
+        ErrorCode ignored;
+        own.socket.set_option(Tcp::no_delay(true), ignored);
+        own.socket.set_option(UserTimeout(SILENT_PEER_MS), ignored);
+        own.socket.non_blocking(true, ignored);
+        own.handler->connected();
+        if (!own.open)
+            return;
+        connection->flush();
+        connection->startRead();
+    });
+    return connection;
+}
+
+void TcpConnection::start(ConnectionHandler &handler)
+{
+    m_impl->handler = &handler;
+    startRead();
+}
+
+void TcpConnection::startRead()
+{
+    if (!m_impl->open)
+        return;
+    m_impl->socket.async_read_some(
+        boost::asio::buffer(m_impl->input),
+        [self = shared_from_this()](const ErrorCode &error, std::size_t count) {
+            if (!self->m_impl->open)
+                return;
+            if (error) {
+                self->finish(endOf(error));
+                return;
+            }
+            self->m_impl->handler->received({self->m_impl->input.data(), count});
+            self->startRead();
+        });
+}
+
+void TcpConnection::write(std::string bytes)
+{
+    if (!m_impl->open || bytes.empty())
+        return;
+    m_impl->outputBytes += bytes.size();
+    m_impl->output.push_back(std::move(bytes));
+    flush();
+}
+
+void TcpConnection::flush()
+{
+    Impl &impl = *m_impl;
+    if (impl.connecting || impl.writing || !impl.open)
+        return;
+    while (!impl.output.empty()) {
+        const std::string &first = impl.output.front();
+        ErrorCode error;
+        const std::size_t sent = impl.socket.write_some(
+            boost::asio::buffer(first.data() + impl.sentOfFirst, first.size() - impl.sentOfFirst),
+            error);
+        if (error == boost::asio::error::would_block) {
+            impl.writing = true;
+            impl.socket.async_wait(Tcp::socket::wait_write,
+                                   [self = shared_from_this()](const ErrorCode &failed) {
+                                       self->m_impl->writing = false;
+                                       if (!failed)
+                                           self->flush();
+                                   });
+            return;
+        }
+        if (error) {
+            // The read side reports the end; bytes that wait can never be sent.
+            impl.output.clear();
+            impl.outputBytes = 0;
+            impl.sentOfFirst = 0;
+            break;
+        }
+        impl.sentOfFirst += sent;
+        impl.outputBytes -= sent;
+        if (impl.sentOfFirst < first.size())
+            continue;
+        impl.output.pop_front();
+        impl.sentOfFirst = 0;
+    }
+    if (impl.closing)
+        close();
+}
+
+void TcpConnection::close()
+{
+    if (!m_impl->open)
+        return;
+    m_impl->open = false;
+    m_impl->loop.cancel(m_impl->connectTimer);
+    ErrorCode ignored;
+    m_impl->socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    m_impl->socket.close(ignored);
+}
+
+void TcpConnection::closeWhenSent()
+{
+    m_impl->closing = true;
+    if (m_impl->output.empty())
+        close();
+}
+
+void TcpConnection::finish(ConnectionEnd end)
+{
+    if (!m_impl->open)
+        return;
+    const auto self = shared_from_this();
+    close();
+    m_impl->handler->ended(end);
+}
+
+std::size_t TcpConnection::unsent() const
+{
+    return m_impl->outputBytes;
+}
+
+bool TcpConnection::isOpen() const
+{
+    return m_impl->open;
+}
+
+std::string TcpConnection::remoteIp() const
+{
+    ErrorCode error;
+    const Tcp::endpoint remote = m_impl->socket.remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string(error);
+}
+
+class TcpListener::Impl : public std::enable_shared_from_this<TcpListener::Impl>
+{
+public:
+    Impl(EventLoop &eventLoop, std::function<void(TcpConnectionPtr)> callback)
+        : loop(eventLoop), onAccept(std::move(callback)), acceptor(eventLoop.context())
+    {}
+
+    void accept()
+    {
+        acceptor.async_wait(Tcp::acceptor::wait_read,
+                            [self = shared_from_this()](const ErrorCode &error) {
+                                if (error || !self->acceptor.is_open())
+                                    return;
+                                self->takeAll();
+                                self->accept();
+                            });
+    }
+
+    void takeAll()
+    {
+        for (std::size_t i = 0; i < ACCEPTS_AT_ONCE; i++) {
+            ErrorCode error;
+            Tcp::socket socket(loop.context());
+            acceptor.accept(socket, error);
+            if (error)
+                return;
+            socket.set_option(Tcp::no_delay(true), error);
+            socket.set_option(UserTimeout(SILENT_PEER_MS), error);
+            socket.non_blocking(true, error);
+            onAccept(std::make_shared<TcpConnection>(
+                std::make_unique<TcpConnection::Impl>(loop, std::move(socket))));
+        }
+    }
+
+    EventLoop &loop;
+    std::function<void(TcpConnectionPtr)> onAccept;
+    Tcp::acceptor acceptor;
+};
+
+TcpListener::TcpListener(std::shared_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+TcpListener::~TcpListener()
+{
+    ErrorCode ignored;
+    m_impl->acceptor.close(ignored);
+}
+
+Result<std::unique_ptr<TcpListener>>
+TcpListener::listen(EventLoop &loop, const Endpoint &at,
+                    std::function<void(TcpConnectionPtr)> onAccept)
+{
+    const auto impl = std::make_shared<Impl>(loop, std::move(onAccept));
+    ErrorCode error;
+    const auto address = boost::asio::ip::make_address(at.ip, error);
+    if (error)
+        return fail(ResultCode::AddressInvalid, "not an IP number", formatEndpoint(at));
+    const Tcp::endpoint endpoint(address, at.port);
+    impl->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        impl->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        impl->acceptor.bind(endpoint, error);
+    if (!error)
+        impl->acceptor.listen(BACKLOG, error);
+    if (!error)
+        impl->acceptor.non_blocking(true, error);
+    if (error)
+        return fail(ResultCode::ListenFailed, error.message(), formatEndpoint(at));
+    impl->accept();
+    return std::unique_ptr<TcpListener>(new TcpListener(impl));
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/node/caller_session.h
@@ -0,0 +1,96 @@
+/** @file caller_session.h One caller's connection: requests in, answers out in the same order. */
+#pragma once
+
+#include "dispatch/dispatch_type.h"
+#include "exchange/request_reader.h"
+#include "loop/tcp_connection.h"
+#include "routes/route_type.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+namespace cornelwell {
+
+class CallerSession;
+
+/** What sessions ask of the daemon. */
+class CallerSessionOwner
+{
+public:
+    virtual ~CallerSessionOwner() = default;
+    /** @return the limits in force. */
+    virtual TrafficLimits limits() const = 0;
+    /** @return true when connections are to end behind the answer. */
+    virtual bool closesConnections() const = 0;
+    /** @return true when the request may be run while earlier ones of its connection are. */
+    virtual bool mayOverlap(const HttpRequest &request) const = 0;
+    /** @return a number for a request. */
+    virtual FlightId newFlight() = 0;
+    /** A request was read. The answer is given to CallerSession::answer, at once or later. */
+    virtual void requestRead(CallerSession &session, FlightId flight, IncomingRequest request) = 0;
+    /** The caller left before its answer. */
+    virtual void callerLeft(FlightId flight) = 0;
+    /** The session is over. */
+    virtual void sessionEnded(CallerSession &session) = 0;
+};
+
+/** A connection with requests in order. */
+class CallerSession : public ConnectionHandler, public std::enable_shared_from_this<CallerSession>
+{
+public:
+    CallerSession(EventLoop &loop, CallerSessionOwner &owner, TcpConnectionPtr connection,
+                  bool fromServer);
+    ~CallerSession() override;
+
+    /** Begins to read. */
+    void start();
+    /** Gives the answer to a request; it is sent when all earlier ones are. */
+    void answer(FlightId flight, const HttpResponse &response);
+    /** Closes at once. */
+    void stop();
+    /** @return true when the server beside this daemon is the caller. */
+    bool fromServer() const { return m_fromServer; }
+    /** @return true when no request is read or waits for its answer. */
+    bool idle() const { return m_pending.empty() && !m_reader.inRequest(); }
+
+    void received(std::string_view bytes) override;
+    void ended(ConnectionEnd end) override;
+
+private:
+    /** A request that was read. */
+    struct Pending
+    {
+        FlightId flight = 0;                ///< 0 until it is dispatched.
+        IncomingRequest request;            ///< Held until it is dispatched.
+        std::string method;                 ///< Of the request.
+        bool keepAlive = true;              ///< The caller keeps the connection.
+        bool overlaps = false;              ///< May be run beside others.
+        std::optional<HttpResponse> answer; ///< Set when it is known.
+    };
+
+    void readOn();
+    void pump();
+    void dispatch();
+    bool sendAnswered();
+    void refuseRest(unsigned status);
+    void finish();
+    void watchIdle();
+    void onIdleTimer();
+
+    EventLoop &m_loop;
+    CallerSessionOwner &m_owner;
+    TcpConnectionPtr m_connection;
+    RequestReader m_reader;
+    std::deque<Pending> m_pending;
+    TimerId m_timer = 0;
+    TimePoint m_lastByte{0};
+    TimePoint m_requestBegan{0};
+    unsigned m_refusal = 0; ///< Status for what could not be read, sent behind the answers.
+    bool m_fromServer;
+    bool m_over = false;
+    bool m_pumping = false;
+    bool m_reading = false;
+};
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/node/peer_links.cpp
@@ -0,0 +1,332 @@
+/** @file peer_links.cpp Links by TCP; the opener sends calls, the accepter tells its state. */
+#include "node/peer_links.h"
+
+#include "base/hash_func.h"
+
+#include <algorithm>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr std::size_t UNSENT_MAX = 16UL * 1024 * 1024; ///< A peer that reads too slowly is dropped.
+constexpr std::size_t NAMELESS_MAX = 256;              ///< Links that did not say hello yet.
+
+} // namespace
+
+/** A link that this daemon opened. */
+class PeerLinks::Opened : public ConnectionHandler,
+                          public std::enable_shared_from_this<PeerLinks::Opened>
+{
+public:
+    Opened(PeerLinks &links, DaemonRecord record) : m_links(links), m_record(std::move(record)) {}
+
+    void open()
+    {
+        heard = m_links.m_loop.now();
+        m_connection = TcpConnection::open(m_links.m_loop, m_record.link,
+                                           m_links.m_options.connect, *this);
+    }
+
+    void connected() override
+    {
+        LinkHello hello;
+        hello.daemon = m_links.m_table.self();
+        hello.version = m_links.m_listener.routesVersion();
+        m_connection->write(encodeLinkMessage(hello));
+    }
+
+    void received(std::string_view bytes) override
+    {
+        const auto self = shared_from_this();
+        heard = m_links.m_loop.now();
+        m_reader.feed(bytes);
+        while (m_connection->isOpen() && m_reader.ready()) {
+            Result<LinkMessage> message = m_reader.next();
+            if (!message) {
+                close();
+                return;
+            }
+            take(std::move(message.value()));
+        }
+    }
+
+    void ended(ConnectionEnd) override { m_links.closed(m_record.name, up); }
+
+    void send(const std::string &bytes)
+    {
+        if (m_connection->unsent() > UNSENT_MAX) {
+            close();
+            return;
+        }
+        m_connection->write(bytes);
+    }
+
+    void close()
+    {
+        if (!m_connection->isOpen())
+            return;
+        m_connection->close();
+        m_links.closed(m_record.name, up);
+    }
+
+    bool up = false;
+    TimePoint heard{0};
+
+private:
+    void take(LinkMessage message)
+    {
+        const auto *state = std::get_if<LinkState>(&message);
+        if (state == nullptr && !up) {
+            close();
+            return;
+        }
+        if (state != nullptr && !up) {
+            if (state->name != m_record.name) {
+                // Another daemon has the address now.
+                close();
+                return;
+            }
+            up = true;
+            std::uint64_t &known = m_links.m_incarnations[m_record.name];
+            const bool restarted = known != 0 && known != state->incarnation;
+            known = state->incarnation;
+            m_links.m_retries.erase(m_record.name);
+            m_links.m_listener.answerReceived(m_record.name, message);
+            m_links.m_listener.linkUp(m_record.name, restarted);
+            return;
+        }
+        m_links.m_listener.answerReceived(m_record.name, std::move(message));
+    }
+
+    PeerLinks &m_links;
+    DaemonRecord m_record;
+    TcpConnectionPtr m_connection;
+    LinkReader m_reader;
+};
+
+/** A link that a peer opened. */
+class PeerLinks::Accepted : public ConnectionHandler,
+                            public std::enable_shared_from_this<PeerLinks::Accepted>
+{
+public:
+    Accepted(PeerLinks &links, TcpConnectionPtr connection)
+        : m_links(links), m_connection(std::move(connection))
+    {}
+
+    void start() { m_connection->start(*this); }
+
+    void received(std::string_view bytes) override
+    {
+        const auto self = shared_from_this();
+        m_reader.feed(bytes);
+        while (m_connection->isOpen() && m_reader.ready()) {
+            Result<LinkMessage> message = m_reader.next();
+            if (!message || !take(std::move(message.value()))) {
+                close();
+                return;
+            }
+        }
+    }
+
+    void ended(ConnectionEnd) override { m_links.acceptedEnded(*this); }
+
+    void send(const std::string &bytes)
+    {
+        if (m_connection->unsent() > UNSENT_MAX) {
+            close();
+            return;
+        }
+        m_connection->write(bytes);
+    }
+
+    /** Ends the link; what lies unread in it is never taken in. */
+    void close()
+    {
+        if (!m_connection->isOpen())
+            return;
+        m_connection->close();
+        m_links.acceptedEnded(*this);
+    }
+
+    DaemonRecord peer; ///< Set by the hello.
+
+private:
+    bool take(LinkMessage message)
+    {
+        if (const auto *hello = std::get_if<LinkHello>(&message)) {
+            if (!peer.name.empty() || hello->format != LINK_FORMAT)
+                return false;
+            peer = hello->daemon;
+            m_links.replaceSender(*this);
+            m_links.m_listener.peerAnnounced(peer);
+            send(encodeLinkMessage(m_links.m_listener.linkState()));
+            return true;
+        }
+        if (peer.name.empty())
+            return false;
+        m_links.m_listener.requestReceived(peer, std::move(message));
+        return true;
+    }
+
+    PeerLinks &m_links;
+    TcpConnectionPtr m_connection;
+    LinkReader m_reader;
+};
+
+PeerLinks::PeerLinks(EventLoop &loop, PeerTable &table, PeerLinksListener &listener,
+                     PeerLinkOptions options)
+    : m_loop(loop), m_table(table), m_listener(listener), m_options(options)
+{}
+
+PeerLinks::~PeerLinks() = default;
+
+Result<void> PeerLinks::listen()
+{
+    BOOST_OUTCOME_TRY(socket, TcpListener::listen(m_loop, m_table.self().link,
+                                                  [this](TcpConnectionPtr connection) {
+                                                      if (m_nameless.size() >= NAMELESS_MAX) {
+                                                          connection->close();
+                                                          return;
+                                                      }
+                                                      const auto accepted = std::make_shared<Accepted>(
+                                                          *this, std::move(connection));
+                                                      m_nameless.insert(accepted);
+                                                      accepted->start();
+                                                  }));
+    m_listenerSocket = std::move(socket);
+    return success();
+}
+
+std::set<ServerId> PeerLinks::wanted() const
+{
+    std::vector<std::pair<std::uint64_t, ServerId>> order;
+    for (const auto &[name, peer] : m_table.peers()) {
+        const bool near = peer.record.dataCentre == m_table.self().dataCentre;
+        const std::uint64_t weight = rendezvousWeight(name.text(), m_table.self().name.text());
+        order.emplace_back(near ? weight / 2 : weight / 2 + (UINT64_MAX / 2), name);
+    }
+    std::sort(order.begin(), order.end());
+    if (order.size() > m_options.linksMax)
+        order.resize(m_options.linksMax);
+    std::set<ServerId> names;
+    for (const auto &[weight, name] : order)
+        names.insert(name);
+    return names;
+}
+
+void PeerLinks::openWanted(TimePoint now)
+{
+    for (const ServerId &name : wanted()) {
+        if (m_opened.count(name) != 0)
+            continue;
+        const auto retry = m_retries.find(name);
+        if (retry != m_retries.end() && now < retry->second.at)
+            continue;
+        const auto link = std::make_shared<Opened>(*this, m_table.find(name)->record);
+        m_opened.emplace(name, link);
+        link->open();
+    }
+}
+
+void PeerLinks::tick()
+{
+    const TimePoint now = m_loop.now();
+    std::vector<std::shared_ptr<Opened>> silent;
+    for (const auto &[name, link] : m_opened) {
+        if (link->up && now - link->heard > m_options.silence)
+            silent.push_back(link);
+    }
+    for (const auto &link : silent)
+        link->close();
+    openWanted(now);
+    if (now >= m_nextHeartbeat)
+        tellState();
+}
+
+void PeerLinks::tellState()
+{
+    m_nextHeartbeat = m_loop.now() + m_options.heartbeat;
+    const std::string bytes = encodeLinkMessage(m_listener.linkState());
+    const auto all = m_accepted;
+    for (const auto &[name, link] : all)
+        link->send(bytes);
+}
+
+bool PeerLinks::sendRequest(const ServerId &peer, const LinkMessage &message)
+{
+    const auto found = m_opened.find(peer);
+    if (found == m_opened.end() || !found->second->up)
+        return false;
+    const auto link = found->second;
+    link->send(encodeLinkMessage(message));
+    return true;
+}
+
+bool PeerLinks::sendAnswer(const ServerId &peer, const LinkMessage &message)
+{
+    const auto found = m_accepted.find(peer);
+    if (found == m_accepted.end())
+        return false;
+    const auto link = found->second;
+    link->send(encodeLinkMessage(message));
+    return true;
+}
+
+void PeerLinks::sendToAll(const LinkMessage &message)
+{
+    const std::string bytes = encodeLinkMessage(message);
+    const auto all = m_opened;
+    for (const auto &[name, link] : all) {
+        if (link->up)
+            link->send(bytes);
+    }
+}
+
+std::size_t PeerLinks::linksUp() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_opened.begin(), m_opened.end(), [](const auto &item) { return item.second->up; }));
+}
+
+void PeerLinks::closed(const ServerId &peer, bool wasUp)
+{
+    const auto found = m_opened.find(peer);
+    if (found == m_opened.end())
+        return;
+    // The connection may be in the middle of a callback.
+    m_loop.after({0}, [link = found->second] {});
+    m_opened.erase(found);
+    Retry &retry = m_retries[peer];
+    retry.pause = {std::clamp(retry.pause.ms * 2, m_options.retryMin.ms, m_options.retryMax.ms)};
+    retry.at = m_loop.now() + retry.pause;
+    if (wasUp)
+        m_listener.linkDown(peer);
+}
+
+/** A daemon has one link here: the one before is closed first, so that nothing of it is still run. */
+void PeerLinks::replaceSender(Accepted &accepted)
+{
+    const auto self = accepted.shared_from_this();
+    m_nameless.erase(self);
+    const auto old = m_accepted.find(accepted.peer.name);
+    if (old != m_accepted.end()) {
+        const auto before = old->second;
+        before->close();
+    }
+    m_accepted[accepted.peer.name] = self;
+}
+
+void PeerLinks::acceptedEnded(Accepted &accepted)
+{
+    const auto self = accepted.shared_from_this();
+    m_loop.after({0}, [self] {});
+    m_nameless.erase(self);
+    const auto found = m_accepted.find(accepted.peer.name);
+    if (found == m_accepted.end() || found->second != self)
+        return;
+    m_accepted.erase(found);
+    m_listener.senderLost(accepted.peer.name, accepted.peer.incarnation);
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/node/peer_links.h
@@ -0,0 +1,101 @@
+/** @file peer_links.h Links to other daemons: opened for own calls, accepted for theirs. */
+#pragma once
+
+#include "fleet/peer_table.h"
+#include "link/link_codec.h"
+#include "loop/tcp_connection.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace cornelwell {
+
+/** What links tell. */
+class PeerLinksListener
+{
+public:
+    virtual ~PeerLinksListener() = default;
+    /** @return the state that peers are told. */
+    virtual LinkState linkState() const = 0;
+    /** @return the version in force. */
+    virtual Revision routesVersion() const = 0;
+    /** The link that this daemon opened is up. @param restarted The peer has started anew. */
+    virtual void linkUp(const ServerId &peer, bool restarted) = 0;
+    /** That link is down. */
+    virtual void linkDown(const ServerId &peer) = 0;
+    /** A link that a peer opened is down. */
+    virtual void senderLost(const ServerId &peer, std::uint64_t incarnation) = 0;
+    /** A peer announced itself. */
+    virtual void peerAnnounced(const DaemonRecord &record) = 0;
+    /** A message of a peer, on the link that this daemon opened. */
+    virtual void answerReceived(const ServerId &peer, LinkMessage message) = 0;
+    /** A message of a peer, on a link that the peer opened. */
+    virtual void requestReceived(const DaemonRecord &peer, LinkMessage message) = 0;
+};
+
+/** Timeouts of links. */
+struct PeerLinkOptions
+{
+    Duration heartbeat = {400};   ///< Pause between states told.
+    Duration silence = {1700};    ///< A link silent for this long is closed.
+    Duration connect = {800};     ///< Longest wait for a link to open.
+    Duration retryMin = {150};    ///< First pause before a peer is tried again.
+    Duration retryMax = {1500};   ///< Longest pause.
+    std::size_t linksMax = 96;    ///< Links that are opened; with more peers, the nearest by hash.
+};
+
+/** Opens, keeps and closes links. */
+class PeerLinks
+{
+public:
+    PeerLinks(EventLoop &loop, PeerTable &table, PeerLinksListener &listener,
+              PeerLinkOptions options);
+    ~PeerLinks();
+
+    /** Accepts links. */
+    Result<void> listen();
+    /** Opens links that are wanted, closes silent ones and tells the state; called often. */
+    void tick();
+    /** Tells the state to all peers at once. */
+    void tellState();
+    /** Sends on the link that this daemon opened. @return false when it is not up. */
+    bool sendRequest(const ServerId &peer, const LinkMessage &message);
+    /** Sends on the link that the peer opened. @return false when there is none. */
+    bool sendAnswer(const ServerId &peer, const LinkMessage &message);
+    /** Sends on all links that this daemon opened. */
+    void sendToAll(const LinkMessage &message);
+    /** @return links that this daemon opened and that are up. */
+    std::size_t linksUp() const;
+
+private:
+    class Opened;
+    class Accepted;
+
+    void openWanted(TimePoint now);
+    std::set<ServerId> wanted() const;
+    void closed(const ServerId &peer, bool wasUp);
+    void replaceSender(Accepted &accepted);
+    void acceptedEnded(Accepted &accepted);
+
+    EventLoop &m_loop;
+    PeerTable &m_table;
+    PeerLinksListener &m_listener;
+    const PeerLinkOptions m_options;
+    std::unique_ptr<TcpListener> m_listenerSocket;
+    std::map<ServerId, std::shared_ptr<Opened>> m_opened;
+    std::map<ServerId, std::shared_ptr<Accepted>> m_accepted; ///< Those that said hello.
+    std::set<std::shared_ptr<Accepted>> m_nameless;           ///< Those that did not yet.
+    std::map<ServerId, std::uint64_t> m_incarnations;         ///< As last told by peers.
+    /** When a peer that failed is tried again. */
+    struct Retry
+    {
+        Duration pause{0};
+        TimePoint at{0};
+    };
+    std::map<ServerId, Retry> m_retries;
+    TimePoint m_nextHeartbeat{0};
+};
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/node/proxy_node.cpp
@@ -0,0 +1,325 @@
+/** @file proxy_node.cpp Start, life and end of the daemon; versions and discovery. */
+#include "node/proxy_node.h"
+
+#include "base/hash_func.h"
+#include "base/json_func.h"
+#include "base/result_code_func.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr Duration TICK{100};              ///< Pause between looks at what is due.
+constexpr Duration STORE_TIMEOUT{3000};    ///< Longest wait for an answer of the store.
+constexpr Duration WATCH_SLACK{1500};      ///< A watch is given up this long after its wait.
+constexpr Duration LEAVE_AFTER{2300};      ///< Callers have learnt by then that the daemon leaves.
+constexpr Duration QUIET_BEFORE_END{300};  ///< No request for this long before the end.
+constexpr Duration GRACE_RESERVE{700};     ///< Time kept of the grace for the last answers.
+constexpr unsigned READY_DENIALS = 2;      ///< After so many the platform sends nobody any more.
+constexpr unsigned CRASHES_MAX = 3;        ///< Crashes after which a request is refused.
+
+QuarantineOptions quarantineOptions()
+{
+    QuarantineOptions options;
+    options.crashes = CRASHES_MAX;
+    options.keep = seconds(120);
+    return options;
+}
+
+std::uint64_t seedOf(const NodeSettings &settings)
+{
+    return hash64(settings.self.name.text()) ^ settings.self.incarnation;
+}
+
+} // namespace
+
+ProxyNode::ProxyNode(EventLoop &loop, const PlatformAdapter &adapter, NodeSettings settings,
+                     std::string settingsPath)
+    : m_loop(loop),
+      m_adapter(adapter),
+      m_settings(std::move(settings)),
+      m_settingsPath(std::move(settingsPath)),
+      m_log(loop.clock(), DecisionLogOptions()),
+      m_peers(m_settings.self, PeerOptions()),
+      m_budget(m_settings.repeats),
+      m_quarantine(quarantineOptions()),
+      m_desk(loop, adapter.callFields(), *this, m_log),
+      m_dispatcher(
+          m_peers, m_budget, [this] { return m_desk.load(); }, DispatchOptions(),
+          seedOf(m_settings)),
+      m_spread(
+          m_peers,
+          [this](const std::string &text) -> Result<RouteTablePtr> {
+              BOOST_OUTCOME_TRY(document, m_adapter.routeDocument(text));
+              return RouteTable::build(std::move(document));
+          },
+          SpreadOptions(), seedOf(m_settings) + 1),
+      m_directory(m_peers, DirectoryOptions(), seedOf(m_settings) + 2),
+      m_rotation(seedOf(m_settings)),
+      m_links(loop, m_peers, *this, PeerLinkOptions()),
+      m_store(loop, m_settings.store),
+      m_watchStore(loop, m_settings.store)
+{
+    m_log.setIdentity(m_settings.self.name.text(), m_settings.self.dataCentre.text());
+}
+
+ProxyNode::~ProxyNode()
+{
+    m_log.flush();
+}
+
+Result<void> ProxyNode::start()
+{
+    BOOST_OUTCOME_TRY(m_links.listen());
+    BOOST_OUTCOME_TRY(reports,
+                      HttpService::listen(m_loop, m_settings.listen.reports,
+                                          [this](const HttpRequest &r) { return reportRead(r); }));
+    m_reportService = std::move(reports);
+    BOOST_OUTCOME_TRY(ready, HttpService::listen(
+                                 m_loop, m_settings.listen.ready,
+                                 [this](const HttpRequest &r) { return readyAsked(r); }));
+    m_readyService = std::move(ready);
+    if (m_settings.listen.metrics.port != 0) {
+        BOOST_OUTCOME_TRY(metrics,
+                          HttpService::listen(m_loop, m_settings.listen.metrics,
+                                              [this](const HttpRequest &) {
+                                                  HttpResponse response;
+                                                  response.body = m_metrics.text();
+                                                  return response;
+                                              }));
+        m_metricsService = std::move(metrics);
+    }
+    BOOST_OUTCOME_TRY(calls, TcpListener::listen(m_loop, m_settings.listen.calls,
+                                                 [this](TcpConnectionPtr connection) {
+                                                     accept(std::move(connection));
+                                                 }));
+    m_callListener = std::move(calls);
+    logLife("started");
+    perform(m_spread.start(m_loop.now()));
+    perform(m_directory.start());
+    tick();
+    return success();
+}
+
+void ProxyNode::logLife(const char *event)
+{
+    m_log.belief(event, [&](LogFields &fields) {
+        fields.add("program", CORNELWELL_VERSION);
+        fields.add("incarnation", m_settings.self.incarnation);
+        fields.add("version", m_spread.version());
+        fields.add("under_way", std::uint64_t{m_flights.size()});
+    });
+}
+
+void ProxyNode::reload()
+{
+    const auto text = readFile(m_settingsPath, ResultCode::SettingsUnreadable);
+    const auto settings = text ? m_adapter.settings(text.value())
+                               : Result<NodeSettings>(boost::outcome_v2::failure(text.error()));
+    if (!settings) {
+        m_log.belief("reload_refused", [&](LogFields &fields) {
+            fields.add("code", std::int64_t{resultCodeNumber(settings.error().code)});
+            fields.add("detail", settings.error().detail);
+            fields.add("where", settings.error().where);
+        });
+        return;
+    }
+    m_settings.store = settings.value().store;
+    m_store.setAddress(m_settings.store);
+    m_watchStore.setAddress(m_settings.store);
+    logLife("reloaded");
+}
+
+void ProxyNode::tick()
+{
+    const TimePoint now = m_loop.now();
+    m_budget.setDaemons(m_peers.soundCount(now));
+    m_links.tick();
+    m_desk.tick();
+    perform(m_spread.tick(now));
+    perform(m_directory.tick(now));
+    if (m_leaving)
+        checkLeft();
+    m_log.flush();
+    m_loop.after(TICK, [this] { tick(); });
+}
+
+void ProxyNode::beginLeaving()
+{
+    if (m_leaving)
+        return;
+    m_leaving = true;
+    m_leavingSince = m_loop.now();
+    m_lastRequest = m_leavingSince;
+    logLife("leaving");
+    m_desk.beginLeaving();
+    m_links.tellState();
+}
+
+/** The daemon ends when callers have learnt that it leaves and nothing is under way. */
+void ProxyNode::checkLeft()
+{
+    const TimePoint now = m_loop.now();
+    const Duration since = now - m_leavingSince;
+    const bool late = since >= m_settings.grace - GRACE_RESERVE;
+    const bool known = since >= LEAVE_AFTER || m_readyDenied >= READY_DENIALS;
+    const bool quiet = m_flights.empty() && m_desk.busy() == 0
+                       && now - m_lastRequest >= QUIET_BEFORE_END;
+    if (!late && !(known && quiet))
+        return;
+    perform(m_dispatcher.endAll(now));
+    logLife("stopped");
+    m_log.flush();
+    m_loop.stop();
+}
+
+HttpResponse ProxyNode::readyAsked(const HttpRequest &request)
+{
+    HttpResponse response;
+    if (!m_adapter.asksReady(request)) {
+        response.status = 404;
+        return response;
+    }
+    const bool ready = m_spread.version() != 0 && !m_leaving;
+    if (m_leaving)
+        m_readyDenied++;
+    response.status = ready ? 200 : 503;
+    return response;
+}
+
+HttpResponse ProxyNode::reportRead(const HttpRequest &request)
+{
+    const Result<ServerNotice> notice = m_adapter.serverNotice(request);
+    if (!notice) {
+        m_log.belief("report_refused", [&](LogFields &fields) {
+            fields.add("code", std::int64_t{resultCodeNumber(notice.error().code)});
+            fields.add("detail", notice.error().detail);
+            fields.add("target", request.path);
+        });
+        HttpResponse refusal;
+        refusal.status = 400;
+        return refusal;
+    }
+    const ServerReport &report = notice.value().report;
+    if (notice.value().leave)
+        m_desk.leave(report);
+    else if (report.address.ip == m_settings.server.ip)
+        m_desk.report(report);
+    return m_adapter.acknowledgement();
+}
+
+void ProxyNode::perform(const SpreadActions &actions)
+{
+    for (const SpreadAction &action : actions)
+        std::visit([this](const auto &one) { perform(one); }, action);
+}
+
+void ProxyNode::perform(const ReadRoutes &)
+{
+    m_watchStore.call(m_adapter.readRoutes(), STORE_TIMEOUT,
+                      [this](const Result<HttpResponse> &answer) {
+                          const Result<StoredRoutes> read
+                              = answer ? m_adapter.routesRead(answer.value())
+                                       : Result<StoredRoutes>(
+                                           boost::outcome_v2::failure(answer.error()));
+                          perform(m_spread.readAnswered(read, m_loop.now()));
+                      });
+}
+
+void ProxyNode::perform(const WatchRoutes &action)
+{
+    m_watchStore.call(m_adapter.watchRoutes(action.storeRevision, action.wait),
+                      action.wait + WATCH_SLACK, [this](const Result<HttpResponse> &answer) {
+                          const Result<StoredRoutes> read
+                              = answer ? m_adapter.routesWatched(answer.value())
+                                       : Result<StoredRoutes>(
+                                           boost::outcome_v2::failure(answer.error()));
+                          perform(m_spread.watchAnswered(read, m_loop.now()));
+                      });
+}
+
+void ProxyNode::perform(const ApplyRoutes &action)
+{
+    m_log.belief("routes", [&](LogFields &fields) {
+        fields.add("version", action.table->version());
+        fields.add("source", action.source);
+        fields.add("routes", std::uint64_t{action.table->routes().size()});
+    });
+    m_links.tellState();
+}
+
+void ProxyNode::perform(const PushRoutes &action)
+{
+    m_links.sendRequest(action.peer, LinkRoutes{m_spread.version(), m_spread.text()});
+}
+
+void ProxyNode::perform(const RejectRoutes &action)
+{
+    m_log.belief("routes_refused", [&](LogFields &fields) {
+        fields.add("code", std::int64_t{resultCodeNumber(action.error.code)});
+        fields.add("detail", action.error.detail);
+        fields.add("where", action.error.where);
+        fields.add("source", action.source);
+        fields.add("version_in_force", m_spread.version());
+    });
+}
+
+void ProxyNode::perform(const StoreChanged &action)
+{
+    m_log.belief(action.answers ? "store_back" : "store_lost", [&](LogFields &fields) {
+        fields.add("code", std::int64_t{resultCodeNumber(action.error.code)});
+        fields.add("detail", action.error.detail);
+        fields.add("age_ms", m_spread.storeAge(m_loop.now()).ms);
+    });
+}
+
+void ProxyNode::perform(const DirectoryActions &actions)
+{
+    for (const DirectoryAction &action : actions)
+        std::visit([this](const auto &one) { perform(one); }, action);
+}
+
+void ProxyNode::perform(const AnnounceSelf &action)
+{
+    m_store.call(m_adapter.announce(m_settings.self, action.revision), STORE_TIMEOUT,
+                 [this](const Result<HttpResponse> &answer) {
+                     const Result<AnnounceAnswer> read
+                         = answer ? m_adapter.announced(answer.value())
+                                  : Result<AnnounceAnswer>(
+                                      boost::outcome_v2::failure(answer.error()));
+                     perform(m_directory.announced(read, m_loop.now()));
+                 });
+}
+
+void ProxyNode::perform(const ListDaemons &action)
+{
+    m_store.call(m_adapter.listDaemons(action.after, action.stale), STORE_TIMEOUT,
+                 [this](const Result<HttpResponse> &answer) {
+                     const Result<DaemonPage> read
+                         = answer ? m_adapter.daemonsListed(answer.value())
+                                  : Result<DaemonPage>(
+                                      boost::outcome_v2::failure(answer.error()));
+                     perform(m_directory.listed(read, m_loop.now()));
+                     m_links.tick();
+                 });
+}
+
+Result<void> runProxyNode(const PlatformAdapter &adapter, const std::string &settingsPath)
+{
+    BOOST_OUTCOME_TRY(text, readFile(settingsPath, ResultCode::SettingsUnreadable));
+    BOOST_OUTCOME_TRY(settings, adapter.settings(text));
+    EventLoop loop;
+    settings.self.incarnation = static_cast<std::uint64_t>(loop.clock().wallNow().ms);
+    ProxyNode node(loop, adapter, std::move(settings), settingsPath);
+    BOOST_OUTCOME_TRY(node.start());
+    loop.onSignal(SIGTERM, [&node] { node.beginLeaving(); });
+    loop.onSignal(SIGINT, [&node] { node.beginLeaving(); });
+    loop.onSignal(SIGHUP, [&node] { node.reload(); });
+    loop.run();
+    return success();
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/node/proxy_node_calls.cpp
@@ -0,0 +1,299 @@
+/** @file proxy_node_calls.cpp The way of one request: read, match, choose, hand over, answer. */
+#include "base/hash_func.h"
+#include "base/result_code_func.h"
+#include "exchange/message_func.h"
+#include "node/proxy_node.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr int NOT_FOUND = 404;
+constexpr int UNAVAILABLE = 503;
+constexpr double MS_PER_SECOND = 1000;
+constexpr Duration NO_ROUTES_RETRY{300};     ///< Advice while no version is known.
+constexpr Duration RETURN_WITHIN{3000};      ///< A refused request is known again for this long.
+
+/** @return milliseconds that the caller waits; the route's timeout when it does not say. */
+Duration callerTime(std::string_view value, Duration fallback)
+{
+    const std::string text(value);
+    char *end = nullptr;
+    const long long ms = std::strtoll(text.c_str(), &end, 10);
+    return end == text.c_str() || ms < 0 ? fallback : Duration{ms};
+}
+
+std::string secondsText(Duration duration)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f", static_cast<double>(duration.ms) / MS_PER_SECOND);
+    return text;
+}
+
+ResultCode codeOf(HostReason reason, int status)
+{
+    switch (reason) {
+    case HostReason::Full:
+    case HostReason::ServerShed:
+        return ResultCode::CallOverloaded;
+    case HostReason::TooLate:
+        return ResultCode::CallDeadline;
+    case HostReason::ServerDraining:
+    case HostReason::DaemonLeaving:
+        return ResultCode::CallDraining;
+    case HostReason::Quarantined:
+        return ResultCode::CallQuarantined;
+    default:
+        return status == UNAVAILABLE ? ResultCode::CallNoServer : ResultCode::CallOutcomeUnknown;
+    }
+}
+
+} // namespace
+
+TrafficLimits ProxyNode::limits() const
+{
+    return m_spread.inForce() ? m_spread.inForce()->limits() : TrafficLimits();
+}
+
+bool ProxyNode::mayOverlap(const HttpRequest &request) const
+{
+    const RouteTablePtr table = m_spread.inForce();
+    const Route *route = table ? table->match(request.headers.get("Host"), request.path) : nullptr;
+    return route == nullptr || route->idempotent;
+}
+
+void ProxyNode::accept(TcpConnectionPtr connection)
+{
+    const bool fromServer = connection->remoteIp() == m_settings.server.ip;
+    CallerSessionOwner &owner = *this;
+    const auto session
+        = std::make_shared<CallerSession>(m_loop, owner, std::move(connection), fromServer);
+    m_sessions.insert(session);
+    session->start();
+}
+
+void ProxyNode::sessionEnded(CallerSession &session)
+{
+    m_sessions.erase(session.shared_from_this());
+}
+
+FlightPlan ProxyNode::planOf(const CallerSession &session, const HttpRequest &request,
+                             const Route &route)
+{
+    const TimePoint now = m_loop.now();
+    const Duration left
+        = callerTime(request.headers.get(m_adapter.callFields().deadline), route.timeout);
+    FlightPlan plan;
+    plan.route = std::shared_ptr<const Route>(m_spread.inForce(), &route);
+    plan.service = m_rotation.next(route);
+    plan.fingerprint = hash64(request.method + ' ' + request.path + '\n' + request.body,
+                              hash64(m_settings.self.service.text()));
+    plan.callerDeadline = now + left;
+    plan.deadline = now + (left < route.timeout ? left : route.timeout);
+    plan.goal = now + (route.goal.ms > 0 ? route.goal : route.timeout);
+    plan.fromServer = session.fromServer();
+    plan.bytes = request.body.size();
+    if (const auto goal = m_returning.take(plan.fingerprint, now)) {
+        plan.returning = true;
+        plan.goal = *goal;
+    }
+    return plan;
+}
+
+void ProxyNode::requestRead(CallerSession &session, FlightId id, IncomingRequest incoming)
+{
+    const TimePoint now = m_loop.now();
+    m_lastRequest = now;
+    const RouteTablePtr table = m_spread.inForce();
+    const HttpRequest &request = incoming.request;
+    Flight &flight = m_flights[id];
+    flight.session = session.shared_from_this();
+    flight.requestId = std::string(request.headers.get(m_adapter.callFields().requestId));
+    flight.began = now;
+    if (!table) {
+        answerOwn({id, UNAVAILABLE, HostReason::NoServer, NO_ROUTES_RETRY});
+        return;
+    }
+    const Route *route = table->match(request.headers.get("Host"), request.path);
+    if (route == nullptr) {
+        answerOwn({id, NOT_FOUND, HostReason::None, {0}});
+        return;
+    }
+    flight.route = route->name;
+    FlightPlan plan = planOf(session, request, *route);
+    if (m_quarantined.count(plan.fingerprint) != 0) {
+        answerOwn({id, UNAVAILABLE, HostReason::Quarantined, seconds(1)});
+        return;
+    }
+    flight.request = std::move(incoming.request);
+    flight.timer = m_loop.after(plan.deadline - now, [this, id] {
+        const auto found = m_flights.find(id);
+        if (found != m_flights.end())
+            found->second.timer = 0;
+        perform(m_dispatcher.timedOut(id, m_loop.now()));
+    });
+    perform(m_dispatcher.begin(id, std::move(plan), now));
+}
+
+void ProxyNode::callerLeft(FlightId id)
+{
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end())
+        return;
+    m_log.request("caller_left", true, [&](LogFields &fields) {
+        fields.add("request", found->second.requestId);
+        fields.add("route", found->second.route);
+        fields.add("after_ms", (m_loop.now() - found->second.began).ms);
+    });
+    m_loop.cancel(found->second.timer);
+    m_flights.erase(found);
+    perform(m_dispatcher.callerLeft(id, m_loop.now()));
+}
+
+void ProxyNode::perform(const DispatchActions &actions)
+{
+    for (const DispatchAction &action : actions)
+        std::visit([this](const auto &one) { perform(one); }, action);
+}
+
+LinkCall ProxyNode::linkCall(const SendOffer &action, const Flight &flight) const
+{
+    const CallFields &names = m_adapter.callFields();
+    const FlightPlan &plan = *m_dispatcher.plan(action.flight);
+    const TimePoint now = m_loop.now();
+    LinkCall call;
+    call.offer = action.offer;
+    call.request.method = flight.request.method;
+    call.request.path = flight.request.path;
+    call.request.headers = withoutHeaders(forwardedHeaders(flight.request.headers),
+                                          {names.deadline, names.instance, names.caller});
+    call.request.headers.add(names.caller, m_settings.self.service.text());
+    call.request.body = flight.request.body;
+    call.requestId = flight.requestId;
+    call.route = plan.route->name;
+    call.instance = action.instance;
+    call.rank = action.rank;
+    call.timeLeft = plan.deadline - now;
+    call.goalLeft = plan.goal - now;
+    call.idempotent = plan.route->idempotent;
+    call.returning = plan.returning;
+    call.fingerprint = plan.fingerprint;
+    return call;
+}
+
+void ProxyNode::perform(const SendOffer &action)
+{
+    const auto found = m_flights.find(action.flight);
+    if (found == m_flights.end() || m_dispatcher.plan(action.flight) == nullptr)
+        return;
+    found->second.offers++;
+    found->second.lastDaemon = action.daemon;
+    LinkCall call = linkCall(action, found->second);
+    if (action.daemon == m_settings.self.name) {
+        m_desk.offer({action.daemon, m_settings.self.incarnation, action.offer}, std::move(call));
+        return;
+    }
+    if (m_links.sendRequest(action.daemon, call))
+        return;
+    HostOutcome outcome;
+    outcome.state = RunState::NotRun;
+    outcome.reason = HostReason::LinkLost;
+    perform(m_dispatcher.ended(action.offer, outcome, m_loop.now()));
+}
+
+void ProxyNode::perform(const CancelOffer &action)
+{
+    if (action.daemon == m_settings.self.name)
+        m_desk.cancel({action.daemon, m_settings.self.incarnation, action.offer});
+    else
+        m_links.sendRequest(action.daemon, LinkCancel{action.offer});
+}
+
+void ProxyNode::perform(const AskOutcome &action)
+{
+    m_links.sendRequest(action.daemon, LinkAsk{action.offer});
+}
+
+void ProxyNode::perform(const PassAnswer &action)
+{
+    HttpResponse response = action.response;
+    response.headers = forwardedHeaders(response.headers);
+    answer(action.flight, response);
+}
+
+HttpResponse ProxyNode::ownResponse(int status, ResultCode code, const std::string &requestId) const
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.add("Content-Type", "application/json");
+    if (!requestId.empty())
+        response.headers.add(m_adapter.callFields().requestId, requestId);
+    response.body = "{\"code\":" + std::to_string(resultCodeNumber(code)) + ",\"name\":\""
+                    + resultCodeInfo(code).name + "\"}";
+    return response;
+}
+
+void ProxyNode::answerOwn(const OwnAnswer &own)
+{
+    const auto found = m_flights.find(own.flight);
+    if (found == m_flights.end())
+        return;
+    const ResultCode code = own.status == NOT_FOUND ? ResultCode::CallUnknownKind
+                                                    : codeOf(own.reason, own.status);
+    HttpResponse response = ownResponse(own.status, code, found->second.requestId);
+    if (own.status == UNAVAILABLE)
+        response.headers.add(m_adapter.callFields().retryAfter, secondsText(own.retryAfter));
+    m_metrics.count("calls_refused_total",
+                    std::string("reason=\"") + hostReasonName(own.reason) + "\",status=\""
+                        + std::to_string(own.status) + "\"");
+    m_log.request("own_answer", true, [&](LogFields &fields) {
+        fields.add("request", found->second.requestId);
+        fields.add("reason", hostReasonName(own.reason));
+        fields.add("retry_after_ms", own.retryAfter.ms);
+    });
+    if (own.status == UNAVAILABLE && own.reason != HostReason::Quarantined
+        && !found->second.request.method.empty()) {
+        const HttpRequest &request = found->second.request;
+        const std::uint64_t fingerprint
+            = hash64(request.method + ' ' + request.path + '\n' + request.body,
+                     hash64(m_settings.self.service.text()));
+        const RouteTablePtr table = m_spread.inForce();
+        const Route *route
+            = table ? table->match(request.headers.get("Host"), request.path) : nullptr;
+        if (route != nullptr)
+            m_returning.refused(fingerprint, found->second.began + route->goal,
+                                m_loop.now() + RETURN_WITHIN);
+    }
+    answer(own.flight, response);
+}
+
+void ProxyNode::answer(FlightId id, const HttpResponse &response)
+{
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end())
+        return;
+    const Flight flight = std::move(found->second);
+    m_flights.erase(found);
+    TimerId timer = flight.timer;
+    m_loop.cancel(timer);
+    const std::int64_t took = (m_loop.now() - flight.began).ms;
+    m_metrics.count("calls_total", "status=\"" + std::to_string(response.status) + "\"");
+    m_metrics.sample("call_ms", "", static_cast<double>(took));
+    m_log.request("answered", response.status >= 400, [&](LogFields &fields) {
+        fields.add("request", flight.requestId);
+        fields.add("route", flight.route);
+        fields.add("status", std::int64_t{response.status});
+        fields.add("daemon", flight.lastDaemon.text());
+        fields.add("offers", std::uint64_t{flight.offers});
+        fields.add("took_ms", took);
+        fields.add("version", m_spread.version());
+    });
+    if (const auto session = flight.session.lock())
+        session->answer(id, response);
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/node/proxy_node_peers.cpp
@@ -0,0 +1,159 @@
+/** @file proxy_node_peers.cpp What peers and the server beside this daemon tell. */
+#include "node/proxy_node.h"
+
+#include <algorithm>
+
+namespace cornelwell {
+
+void ProxyNode::callEnded(const CallOrigin &origin, const HostOutcome &outcome)
+{
+    if (origin.daemon == m_settings.self.name) {
+        perform(m_dispatcher.ended(origin.offer, outcome, m_loop.now()));
+        return;
+    }
+    m_links.sendAnswer(origin.daemon, LinkResult{origin.offer, outcome, m_desk.load()});
+}
+
+void ProxyNode::hostChanged()
+{
+    m_links.tellState();
+}
+
+void ProxyNode::requestCrashed(std::uint64_t fingerprint, const std::string &route)
+{
+    CrashReport report;
+    report.fingerprint = fingerprint;
+    report.server = m_settings.self.name;
+    report.sequence = m_settings.self.incarnation + ++m_lastCrash;
+    report.entry = EntryName(route);
+    takeCrash(report);
+    m_links.sendToAll(LinkCrash{report});
+}
+
+void ProxyNode::takeCrash(const CrashReport &report)
+{
+    const TimePoint now = m_loop.now();
+    if (!m_quarantine.add(report, now))
+        return;
+    const std::vector<std::uint64_t> refused = m_quarantine.quarantined(now);
+    m_quarantined = {refused.begin(), refused.end()};
+    m_log.belief("crash", [&](LogFields &fields) {
+        fields.add("fingerprint", report.fingerprint);
+        fields.add("server", report.server.text());
+        fields.add("route", report.entry.text());
+        fields.add("refused", std::uint64_t{m_quarantined.count(report.fingerprint)});
+    });
+}
+
+LinkState ProxyNode::linkState() const
+{
+    LinkState state;
+    state.name = m_settings.self.name;
+    state.incarnation = m_settings.self.incarnation;
+    state.load = m_desk.load();
+    state.version = m_spread.version();
+    state.storeAge = m_spread.storeAge(m_loop.now());
+    state.leaving = m_leaving;
+    return state;
+}
+
+void ProxyNode::linkUp(const ServerId &name, bool restarted)
+{
+    const TimePoint now = m_loop.now();
+    if (Peer *peer = m_peers.find(name)) {
+        peer->linked = true;
+        peer->linkedAt = now;
+        peer->heardAt = now;
+    }
+    m_log.belief("link_up", [&](LogFields &fields) {
+        fields.add("peer", name.text());
+        fields.add("restarted", std::int64_t{restarted ? 1 : 0});
+    });
+    for (const CrashReport &report : m_quarantine.reports(now))
+        m_links.sendRequest(name, LinkCrash{report});
+    perform(m_dispatcher.linkOpened(name, restarted, now));
+    perform(m_spread.tick(now));
+}
+
+void ProxyNode::linkDown(const ServerId &name)
+{
+    const TimePoint now = m_loop.now();
+    if (Peer *peer = m_peers.find(name)) {
+        peer->linked = false;
+        m_log.belief("link_down", [&](LogFields &fields) {
+            fields.add("peer", name.text());
+            fields.add("heard_ms_ago", (now - peer->heardAt).ms);
+        });
+    }
+    perform(m_dispatcher.linkLost(name, now));
+}
+
+void ProxyNode::senderLost(const ServerId &peer, std::uint64_t incarnation)
+{
+    m_desk.senderLost(peer, incarnation);
+}
+
+void ProxyNode::peerAnnounced(const DaemonRecord &record)
+{
+    m_peers.learn(record, true);
+}
+
+void ProxyNode::answerReceived(const ServerId &name, LinkMessage message)
+{
+    if (Peer *peer = m_peers.find(name))
+        peer->heardAt = m_loop.now();
+    if (const auto *state = std::get_if<LinkState>(&message))
+        takeState(name, *state);
+    else if (const auto *result = std::get_if<LinkResult>(&message))
+        takeResult(name, *result);
+}
+
+void ProxyNode::takeState(const ServerId &name, const LinkState &state)
+{
+    const TimePoint now = m_loop.now();
+    Peer *peer = m_peers.find(name);
+    if (peer == nullptr)
+        return;
+    peer->load = state.load;
+    peer->loadAt = now;
+    peer->sentWhenTold = peer->sent;
+    peer->storeAge = state.storeAge;
+    peer->leaving = state.leaving;
+    const bool behind = state.version != peer->version;
+    peer->version = state.version;
+    if (behind)
+        perform(m_spread.tick(now));
+}
+
+void ProxyNode::takeResult(const ServerId &name, const LinkResult &result)
+{
+    const TimePoint now = m_loop.now();
+    if (Peer *peer = m_peers.find(name)) {
+        peer->load = result.load;
+        peer->loadAt = now;
+        peer->sentWhenTold = peer->sent > 0 ? peer->sent - 1 : 0;
+    }
+    perform(m_dispatcher.ended(result.offer, result.outcome, now));
+}
+
+void ProxyNode::requestReceived(const DaemonRecord &peer, LinkMessage message)
+{
+    const auto origin = [&](OfferId offer) {
+        return CallOrigin{peer.name, peer.incarnation, offer};
+    };
+    if (auto *call = std::get_if<LinkCall>(&message)) {
+        const OfferId offer = call->offer;
+        m_desk.offer(origin(offer), std::move(*call));
+    } else if (const auto *cancel = std::get_if<LinkCancel>(&message)) {
+        m_desk.cancel(origin(cancel->offer));
+    } else if (const auto *ask = std::get_if<LinkAsk>(&message)) {
+        if (const auto outcome = m_desk.ask(origin(ask->offer)))
+            m_links.sendAnswer(peer.name, LinkResult{ask->offer, *outcome, m_desk.load()});
+    } else if (const auto *routes = std::get_if<LinkRoutes>(&message)) {
+        perform(m_spread.received(peer.name, routes->version, routes->text, m_loop.now()));
+    } else if (const auto *crash = std::get_if<LinkCrash>(&message)) {
+        takeCrash(crash->report);
+    }
+}
+
+} // namespace cornelwell
--- a/src/proxy/call_receiver.h
+++ b/src/proxy/call_receiver.h
@@ -7,7 +7,7 @@
 #include "delivery/key_ledger.h"
 #include "http/http_client.h"
 #include "limits/limit_window.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 #include "proxy/admission_gate.h"
 #include "proxy/call_registry.h"
 #include "proxy/call_type.h"
--- /dev/null
+++ b/src/retry/service_budget.cpp
@@ -0,0 +1,37 @@
+/** @file service_budget.cpp Tokens by requests, and a share of the slack by time. */
+#include "retry/service_budget.h"
+
+#include <algorithm>
+
+namespace cornelwell {
+
+ServiceBudget::Bucket &ServiceBudget::refilled(const ServiceName &service, TimePoint now)
+{
+    Bucket &bucket = m_buckets[service];
+    if (!bucket.begun) {
+        bucket = {share() / 2, now, true};
+        return bucket;
+    }
+    const double passed = static_cast<double>((now - bucket.at).ms);
+    const double earned = share() / 2 * passed / static_cast<double>(m_options.window.ms);
+    bucket.tokens = std::min(std::max(1.0, share() / 2), bucket.tokens + earned);
+    bucket.at = now;
+    return bucket;
+}
+
+void ServiceBudget::requestBegan(const ServiceName &service, TimePoint now)
+{
+    Bucket &bucket = refilled(service, now);
+    bucket.tokens = std::min(std::max(1.0, share() / 2), bucket.tokens + m_options.ratio);
+}
+
+bool ServiceBudget::take(const ServiceName &service, TimePoint now)
+{
+    Bucket &bucket = refilled(service, now);
+    if (bucket.tokens < 1)
+        return false;
+    bucket.tokens -= 1;
+    return true;
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/retry/service_budget.h
@@ -0,0 +1,50 @@
+/** @file service_budget.h How many requests may be handed to a second server: the decision. */
+#pragma once
+
+#include "base/clock_type.h"
+#include "base/identifier_type.h"
+
+#include <cstddef>
+#include <map>
+
+namespace cornelwell {
+
+/** The fleet's budget, of which each daemon takes its part without asking the others. */
+struct ServiceBudgetOptions
+{
+    double ratio = 0.1;        ///< Repeats earned by one request of the service.
+    double slack = 30;         ///< Repeats of the whole fleet that need not be earned.
+    Duration window = seconds(10); ///< Time in which the slack may be used once.
+};
+
+/** A token bucket for each service, earned by this daemon's own requests. */
+class ServiceBudget
+{
+public:
+    explicit ServiceBudget(ServiceBudgetOptions options) : m_options(options) {}
+
+    /** Sets by how many daemons the slack is shared. */
+    void setDaemons(std::size_t daemons) { m_daemons = daemons > 0 ? daemons : 1; }
+    /** A request of the service begins. */
+    void requestBegan(const ServiceName &service, TimePoint now);
+    /** Asks for a repeat. @return true when one may be made; it is used up then. */
+    bool take(const ServiceName &service, TimePoint now);
+
+private:
+    /** Tokens of one service. */
+    struct Bucket
+    {
+        double tokens = 0;
+        TimePoint at{0};
+        bool begun = false;
+    };
+
+    Bucket &refilled(const ServiceName &service, TimePoint now);
+    double share() const { return m_options.slack / static_cast<double>(m_daemons); }
+
+    ServiceBudgetOptions m_options;
+    std::size_t m_daemons = 1;
+    std::map<ServiceName, Bucket> m_buckets;
+};
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/routes/route_table.cpp
@@ -0,0 +1,96 @@
+/** @file route_table.cpp Checks of a version, and the search for the longest prefix. */
+#include "routes/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr std::int64_t TIMEOUT_MAX_MS = 3'600'000; ///< Longest timeout of a route.
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+std::string routeKey(std::string_view host, std::string_view prefix)
+{
+    std::string key(host);
+    key += ' ';
+    key += prefix;
+    return key;
+}
+
+Result<void> checkRoute(const Route &route, const std::string &where)
+{
+    if (route.host.empty())
+        return fail(ResultCode::RouteInvalid, "a route without a host", where);
+    if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
+        return fail(ResultCode::RouteInvalid, "a prefix that does not begin and end with a slash",
+                    where);
+    if (route.timeout.ms <= 0 || route.timeout.ms > TIMEOUT_MAX_MS)
+        return fail(ResultCode::RouteInvalid, "a timeout that is not above 0", where);
+    if (route.parts.empty())
+        return fail(ResultCode::RouteInvalid, "a route without a service", where);
+    const bool weighted = std::any_of(route.parts.begin(), route.parts.end(),
+                                      [](const RoutePart &part) { return part.weight > 0; });
+    if (!weighted)
+        return fail(ResultCode::RouteInvalid, "no part of the route has a weight", where);
+    return success();
+}
+
+} // namespace
+
+Result<RouteTablePtr> RouteTable::build(RouteDocument document)
+{
+    if (document.version == 0)
+        return fail(ResultCode::RouteInvalid, "a document without a version", "/version");
+    if (document.limits.headerBytes == 0 || document.limits.idleTimeout.ms <= 0
+        || document.limits.headerTimeout.ms <= 0)
+        return fail(ResultCode::RouteInvalid, "a limit that is not above 0", "/limits");
+    std::shared_ptr<RouteTable> table(new RouteTable(std::move(document)));
+    for (const RouteService &service : table->m_document.services)
+        table->m_services.emplace(service.name.text(), &service);
+    for (std::size_t i = 0; i < table->m_document.routes.size(); i++) {
+        Route &route = table->m_document.routes[i];
+        const std::string where = "/routes/" + std::to_string(i);
+        BOOST_OUTCOME_TRY(checkRoute(route, where));
+        for (const RoutePart &part : route.parts) {
+            if (table->service(part.service) == nullptr)
+                return fail(ResultCode::RouteDanglingService,
+                            "no service '" + part.service.text() + "'", where);
+        }
+        route.host = lowerCase(route.host);
+        if (!table->m_byKey.emplace(routeKey(route.host, route.prefix), &route).second)
+            return fail(ResultCode::RouteInvalid, "two routes of one host and prefix", where);
+    }
+    return RouteTablePtr(std::move(table));
+}
+
+const RouteService *RouteTable::service(const ServiceName &name) const
+{
+    const auto found = m_services.find(name.text());
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+const Route *RouteTable::match(std::string_view host, std::string_view target) const
+{
+    const std::string_view path = target.substr(0, target.find('?'));
+    const std::string name = lowerCase(host.substr(0, host.find(':')));
+    for (std::size_t end = path.rfind('/'); end != std::string_view::npos;) {
+        const auto found = m_byKey.find(routeKey(name, path.substr(0, end + 1)));
+        if (found != m_byKey.end())
+            return found->second;
+        if (end == 0)
+            return nullptr;
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/spread/route_spread.cpp
@@ -0,0 +1,186 @@
+/** @file route_spread.cpp Who watches the store, and who pushes to whom. */
+#include "spread/route_spread.h"
+
+#include "base/hash_func.h"
+
+#include <algorithm>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr Duration NEVER_HEARD{1'000'000'000};
+constexpr Duration PUSH_AGAIN{1500}; ///< A peer that did not take a version is sent it again.
+
+} // namespace
+
+RouteSpread::RouteSpread(const PeerTable &table, Parser parser, SpreadOptions options,
+                         std::uint64_t seed)
+    : m_peers(table), m_parser(std::move(parser)), m_options(options), m_random(seed)
+{}
+
+SpreadActions RouteSpread::start(TimePoint now)
+{
+    m_started = now;
+    m_callOpen = true;
+    return {ReadRoutes{}};
+}
+
+Duration RouteSpread::storeAge(TimePoint now) const
+{
+    return m_storeEverHeard ? now - m_storeHeard : NEVER_HEARD;
+}
+
+void RouteSpread::storeAnswered(TimePoint now, SpreadActions &actions)
+{
+    m_callOpen = false;
+    m_pause = {0};
+    m_storeHeard = now;
+    m_storeEverHeard = true;
+    if (!m_storeAnswers)
+        actions.push_back(StoreChanged{true, {}});
+    m_storeAnswers = true;
+}
+
+void RouteSpread::storeFailed(const Error &error, TimePoint now, SpreadActions &actions)
+{
+    m_callOpen = false;
+    m_pause = {std::clamp(m_pause.ms * 2, m_options.retryMin.ms, m_options.retryMax.ms)};
+    m_nextCall = now + m_random.jitter(m_pause);
+    if (m_storeAnswers)
+        actions.push_back(StoreChanged{false, error});
+    m_storeAnswers = false;
+}
+
+SpreadActions RouteSpread::readAnswered(const Result<StoredRoutes> &answer, TimePoint now)
+{
+    SpreadActions actions;
+    if (!answer) {
+        storeFailed(answer.error(), now, actions);
+        return actions;
+    }
+    storeAnswered(now, actions);
+    m_readNeeded = !answer.value().text;
+    if (m_readNeeded)
+        m_nextCall = now + m_random.jitter(m_options.retryMax);
+    m_storeRevision = answer.value().storeRevision;
+    if (answer.value().text)
+        take(*answer.value().text, "store", now, actions);
+    return actions;
+}
+
+SpreadActions RouteSpread::watchAnswered(const Result<StoredRoutes> &answer, TimePoint now)
+{
+    SpreadActions actions;
+    if (!answer) {
+        if (answer.error().code == ResultCode::PlatformHistoryGone)
+            m_readNeeded = true;
+        storeFailed(answer.error(), now, actions);
+        // A connection that broke may have missed a change: the next call goes out soon.
+        return actions;
+    }
+    storeAnswered(now, actions);
+    m_storeRevision = std::max(m_storeRevision, answer.value().storeRevision);
+    if (answer.value().text)
+        take(*answer.value().text, "store", now, actions);
+    SpreadActions more = tick(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+SpreadActions RouteSpread::received(const ServerId &peer, Revision version, const std::string &text,
+                                    TimePoint now)
+{
+    SpreadActions actions;
+    if (version > this->version())
+        take(text, peer.text(), now, actions);
+    return actions;
+}
+
+void RouteSpread::take(const std::string &text, const std::string &source, TimePoint now,
+                       SpreadActions &actions)
+{
+    const std::uint64_t hash = hash64(text);
+    if (text == m_text || hash == m_rejectedHash)
+        return;
+    Result<RouteTablePtr> table = m_parser(text);
+    if (table && table.value()->version() <= version()) {
+        if (table.value()->version() < version() && source == "store") {
+            m_rejectedHash = hash;
+            actions.push_back(RejectRoutes{
+                {ResultCode::VersionOlder, "an older version than the one in force", {}}, source});
+        }
+        return;
+    }
+    if (!table) {
+        m_rejectedHash = hash;
+        actions.push_back(RejectRoutes{table.error(), source});
+        return;
+    }
+    m_table = table.value();
+    m_text = text;
+    m_pushAt.clear();
+    actions.push_back(ApplyRoutes{m_table, source});
+    pushToBehind(now, actions);
+}
+
+bool RouteSpread::shouldWatch(TimePoint now) const
+{
+    if (now - m_started < m_options.settle)
+        return false;
+    unsigned fresh = 0;
+    for (const Peer *peer : m_peers.rankedBefore(now)) {
+        if (peer->storeAge + (now - peer->heardAt) < m_options.freshFor)
+            fresh++;
+    }
+    return fresh < m_options.watchers;
+}
+
+SpreadActions RouteSpread::tick(TimePoint now)
+{
+    SpreadActions actions;
+    pushToBehind(now, actions);
+    m_watching = shouldWatch(now);
+    if (m_callOpen || now < m_nextCall)
+        return actions;
+    if (m_readNeeded) {
+        m_callOpen = true;
+        actions.push_back(ReadRoutes{});
+    } else if (m_watching) {
+        m_callOpen = true;
+        actions.push_back(WatchRoutes{m_storeRevision, m_options.watchWait});
+    }
+    return actions;
+}
+
+Duration RouteSpread::pushDelay(const Peer &peer, TimePoint now)
+{
+    if (peer.version == 0)
+        return m_random.jitter(m_options.pushNear);
+    if (!m_watching)
+        return m_random.jitter(m_options.pushOther);
+    if (peer.record.dataCentre != m_peers.self().dataCentre)
+        return m_random.jitter(m_options.pushFar);
+    return {m_options.pushNear.ms * static_cast<std::int64_t>(m_peers.rankInDataCentre(now))};
+}
+
+void RouteSpread::pushToBehind(TimePoint now, SpreadActions &actions)
+{
+    if (!m_table)
+        return;
+    for (const auto &[name, peer] : m_peers.peers()) {
+        if (!peer.linked || peer.version >= version()) {
+            m_pushAt.erase(name);
+            continue;
+        }
+        const auto [entry, added] = m_pushAt.try_emplace(name, now);
+        if (added)
+            entry->second = now + pushDelay(peer, now);
+        if (now < entry->second)
+            continue;
+        entry->second = now + PUSH_AGAIN;
+        actions.push_back(PushRoutes{name});
+    }
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/spread/route_spread.h
@@ -0,0 +1,84 @@
+/** @file route_spread.h How versions of the routes reach this daemon and its peers: the decision. */
+#pragma once
+
+#include "base/random.h"
+#include "fleet/peer_table.h"
+#include "spread/route_spread_type.h"
+
+#include <functional>
+#include <map>
+
+namespace cornelwell {
+
+/**
+ * Some daemons of each data centre watch the platform's store and push what is new to the others; a
+ * peer that stays behind is sent the version by whoever notices. A version is never replaced by an
+ * older one. Events in, actions out.
+ */
+class RouteSpread
+{
+public:
+    /** Reads and checks a document. */
+    using Parser = std::function<Result<RouteTablePtr>(const std::string &text)>;
+
+    /**
+     * @param table Beliefs about peers.
+     * @param parser Reads documents.
+     * @param options Timeouts.
+     * @param seed Of the jitter.
+     */
+    RouteSpread(const PeerTable &table, Parser parser, SpreadOptions options, std::uint64_t seed);
+
+    /** The daemon starts. */
+    SpreadActions start(TimePoint now);
+    /** The store answered a read. */
+    SpreadActions readAnswered(const Result<StoredRoutes> &answer, TimePoint now);
+    /** The store answered a watch; PlatformHistoryGone makes it read anew. */
+    SpreadActions watchAnswered(const Result<StoredRoutes> &answer, TimePoint now);
+    /** A peer sent a version. */
+    SpreadActions received(const ServerId &peer, Revision version, const std::string &text,
+                           TimePoint now);
+    /** Time passes; to be called a few times in a second, and when a peer told its version. */
+    SpreadActions tick(TimePoint now);
+
+    /** @return the version in force; null before the first. */
+    const RouteTablePtr &inForce() const { return m_table; }
+    /** @return number of the version in force; 0 before the first. */
+    Revision version() const { return m_table ? m_table->version() : 0; }
+    /** @return the document in force. */
+    const std::string &text() const { return m_text; }
+    /** @return how long ago the store answered; very long when never. */
+    Duration storeAge(TimePoint now) const;
+    /** @return true when this daemon watches the store. */
+    bool watching() const { return m_watching; }
+
+private:
+    void take(const std::string &text, const std::string &source, TimePoint now,
+              SpreadActions &actions);
+    void storeAnswered(TimePoint now, SpreadActions &actions);
+    void storeFailed(const Error &error, TimePoint now, SpreadActions &actions);
+    bool shouldWatch(TimePoint now) const;
+    void pushToBehind(TimePoint now, SpreadActions &actions);
+    Duration pushDelay(const Peer &peer, TimePoint now);
+
+    const PeerTable &m_peers;
+    Parser m_parser;
+    const SpreadOptions m_options;
+    Random m_random;
+    RouteTablePtr m_table;
+    std::string m_text;
+    std::uint64_t m_storeRevision = 0;
+    std::uint64_t m_rejectedHash = 0;
+    bool m_readNeeded = true;
+    bool m_callOpen = false;
+    bool m_watching = false;
+    bool m_storeAnswers = true;
+    Duration m_pause{0};
+    TimePoint m_nextCall{0};
+    TimePoint m_storeHeard{0};
+    bool m_storeEverHeard = false;
+    TimePoint m_started{0};
+    std::map<ServerId, TimePoint> m_pushAt; ///< When a peer that is behind is sent the version.
+};
+
+} // namespace cornelwell
--- /dev/null
+++ b/src/spread/route_spread_type.h
@@ -0,0 +1,74 @@
+/** @file route_spread_type.h What the spread of versions asks its shell to do. */
+#pragma once
+
+#include "base/identifier_type.h"
+#include "base/result.h"
+#include "routes/route_table.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cornelwell {
+
+/** The newest document as the platform's store has it. */
+struct StoredRoutes
+{
+    std::uint64_t storeRevision = 0; ///< Revision to watch from.
+    std::optional<std::string> text; ///< The document; nothing when there is none, or none newer.
+};
+
+/** Read the newest document from the store; the answer comes as readAnswered. */
+struct ReadRoutes
+{};
+/** Watch the store; the answer comes as watchAnswered. */
+struct WatchRoutes
+{
+    std::uint64_t storeRevision = 0; ///< Revision seen last.
+    Duration wait;                   ///< Longest wait for a change.
+};
+/** A version is in force from now on. */
+struct ApplyRoutes
+{
+    RouteTablePtr table; ///< The version.
+    std::string source;  ///< Where it came from, for logs.
+};
+/** Send the version in force to a peer. */
+struct PushRoutes
+{
+    ServerId peer; ///< The peer.
+};
+/** A document was refused; the last good one stays. */
+struct RejectRoutes
+{
+    Error error;        ///< Why.
+    std::string source; ///< Where it came from.
+};
+/** The store began or ceased to answer. */
+struct StoreChanged
+{
+    bool answers = false; ///< True when it answers again.
+    Error error;          ///< Why it does not.
+};
+/** An action of the spread. */
+using SpreadAction = std::variant<ReadRoutes, WatchRoutes, ApplyRoutes, PushRoutes, RejectRoutes,
+                                  StoreChanged>;
+using SpreadActions = std::vector<SpreadAction>;
+
+/** Timeouts of the spread. */
+struct SpreadOptions
+{
+    unsigned watchers = 2;            ///< Daemons of a data centre that watch the store.
+    Duration watchWait = {2500};      ///< Longest wait of one watch.
+    Duration freshFor = {4500};       ///< A watcher that heard the store within this counts as sound.
+    Duration settle = {1000};         ///< A new daemon links to others before it watches.
+    Duration retryMin = {100};        ///< First pause after a failed call.
+    Duration retryMax = {1500};       ///< Longest pause.
+    Duration pushNear = {30};         ///< Pause before a second watcher pushes in its data centre.
+    Duration pushFar = {350};         ///< Pause before a watcher pushes elsewhere.
+    Duration pushOther = {1200};      ///< Pause before a daemon that does not watch pushes.
+};
+
+} // namespace cornelwell
--- a/src/platform/http_object_store.cpp
+++ b/src/store/http_object_store.cpp
@@ -1,5 +1,5 @@
 /** @file http_object_store.cpp Maps the object API's HTTP answers to results. */
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include "base/endpoint_func.h"
 
--- a/src/platform/http_object_store.h
+++ b/src/store/http_object_store.h
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "http/http_client.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <atomic>
 #include <memory>
--- a/standin/memory_store.h
+++ b/standin/memory_store.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <condition_variable>
 #include <cstdint>
--- a/tests/ctest.cmake
+++ b/tests/ctest.cmake
@@ -1,5 +1,5 @@
 # One CTest test for each slice, so that a failure names its slice.
-foreach(slice base settings timeline catalogue http platform membership distribution control routing admission limits retry
+foreach(slice base settings timeline catalogue http store membership distribution control routing admission limits retry
         delivery proxy cli)
   add_test(NAME ${slice} COMMAND cornelwell-tests "[${slice}]")
   set_tests_properties(${slice} PROPERTIES LABELS unit)
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -1,7 +1,7 @@
 /** @file fake_store.h An object store in memory whose calls fail as a test asks. */
 #pragma once
 
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <deque>
 #include <map>
