Feature: dispatch: an offer names the longest wait it is worth

Cause: beliefs up to 400 ms old sent all daemons to the same fast server; 242 requests took over half their goal to reach one. Ruled out: more frequent states (cost grows with the square of the fleet). Change: the sender tells up to which wait this server is better than the next; the receiver refuses beyond it at once, with its load; a repeat after a server's failure goes to another server.

--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -40,6 +40,7 @@
     ServerId daemon;      ///< Daemon beside the server; may be this one.
     std::string instance; ///< Identity of the server.
     unsigned rank = 0;    ///< Lower goes first.
+    Duration waitMax;     ///< With a longer wait the offer is to be refused; below 0: any wait.
 };
 /** Tell the hosting daemon that an offer is given up. */
 struct CancelOffer
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -87,11 +87,14 @@
     flight.daemon = chosen->name;
     flight.lost = false;
     flight.offers++;
+    // The last offer takes any wait: by then the beliefs are fresh.
+    flight.anyWait = chosen->waitMaxMs < 0 || flight.offers >= m_options.offersMax;
+    const Duration waitMax{flight.anyWait ? -1 : static_cast<std::int64_t>(chosen->waitMaxMs)};
     m_offers[flight.offer] = id;
     if (Peer *peer = m_table.find(chosen->name))
         peer->sent++;
     actions.push_back(
-        SendOffer{id, flight.offer, chosen->name, chosen->instance, rankOf(flight.plan)});
+        SendOffer{id, flight.offer, chosen->name, chosen->instance, rankOf(flight.plan), waitMax});
 }
 
 void Dispatcher::closeOffer(Flight &flight)
@@ -131,6 +134,7 @@
     switch (outcome.state) {
     case RunState::Answered:
         if (outcome.response.status >= SERVER_ERROR) {
+            flight.refused.insert(daemon);
             failed(id, flight, outcome, now, actions);
             break;
         }
@@ -139,9 +143,8 @@
         m_flights.erase(id);
         break;
     case RunState::NotRun:
-        flight.refused.insert(daemon);
-        if (Peer *peer = m_table.find(daemon); peer != nullptr && outcome.reason == HostReason::Full)
-            peer->refusedUntil = now + m_options.refusalMemory;
+        if (outcome.reason != HostReason::Full || flight.anyWait)
+            flight.refused.insert(daemon);
         notRun(id, flight, outcome, now, actions);
         break;
     case RunState::Unknown:
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -14,7 +14,6 @@
 struct DispatchOptions
 {
     unsigned offersMax = 4;            ///< Daemons asked for one handing over.
-    Duration refusalMemory = {400};    ///< A server without room is avoided for this long.
     Duration retryAfter = {150};       ///< Advice when nothing better is known.
     ChoiceOptions choice;              ///< Weights of the choice.
 };
@@ -66,6 +65,7 @@
         unsigned handed = 0;         ///< Servers that received it.
         unsigned offers = 0;         ///< Daemons asked since it was handed to a server.
         bool unknown = false;        ///< It may have been run by a server.
+        bool anyWait = false;        ///< The open offer was made with any wait.
         std::set<ServerId> refused;  ///< Daemons that had no room.
         Duration retryAfter{0};      ///< Shortest advice heard.
         HostReason reason = HostReason::None; ///< Why the last offer failed.
--- a/src/dispatch/server_choice.h
+++ b/src/dispatch/server_choice.h
@@ -17,7 +17,7 @@
     double failurePenalty = 6.0;   ///< Times the expected time, for a server that fails all.
     double coldPenalty = 1.0;      ///< Times the expected time, for a server that is cold.
     double otherCentreMs = 4;      ///< For a server in another data centre.
-    double otherCentreMsPerKb = 12; ///< For each kilobyte that crosses.
+    double otherCentreMsPerKb = 25; ///< For each kilobyte that crosses.
     double jitter = 0.06;          ///< Spread that keeps daemons from choosing alike.
 };
 
@@ -27,7 +27,8 @@
     ServerId name;           ///< Its daemon.
     std::string instance;    ///< Its identity.
     double cost = 0;         ///< Expected time and penalties, in milliseconds.
-    bool sameCentre = false; ///< In the own data centre.
+    double waitMs = 0;       ///< Part of it that is spent waiting for a slot.
+    double waitMaxMs = 0;    ///< With a longer wait the next best server is better; below 0: any wait.
 };
 
 /** What a choice is made for. */
@@ -52,7 +53,14 @@
                                       const ChoiceRequest &request, const ChoiceOptions &options,
                                       TimePoint now, Random &random);
 
-/** @return expected time of one more request at a server, in milliseconds. @param pending Requests there. */
-double expectedMs(const HostLoad &load, unsigned pending, const ChoiceOptions &options);
+/** Expected time of one more request at a server. */
+struct Expectation
+{
+    double workMs = 0; ///< At the server, with penalties for what is known against it.
+    double waitMs = 0; ///< Before that.
+};
+
+/** @return what to expect of a server. @param pending Requests there. */
+Expectation expectationOf(const HostLoad &load, unsigned pending, const ChoiceOptions &options);
 
 } // namespace cornelwell
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -22,8 +22,6 @@
     Revision version = 0;       ///< Version in force there, as last told.
     Duration storeAge;          ///< How long ago it had heard from the platform's store.
     bool leaving = false;       ///< The daemon is about to stop.
-    TimePoint refusedUntil{0};  ///< It had no room lately.
-    double roundTripMs = 0;     ///< Shortest time seen from a call to a refusal or answer without work.
 };
 
 /** Thresholds for beliefs. */
--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -150,6 +150,8 @@
     const Duration wait = waitFor(call.rank);
     if (wait.ms == 0)
         return HostReason::None;
+    if (call.waitMax.ms >= 0 && wait > call.waitMax)
+        return HostReason::Full;
     const Duration whole = wait + Duration{static_cast<std::int64_t>(work)};
     if (m_queue.size() >= m_options.queueMax || now + whole > call.deadline)
         return HostReason::Full;
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -71,6 +71,7 @@
     TimePoint goal;            ///< An answer by then is worth most.
     std::string instance;      ///< Server that the sender means; empty for any.
     bool returning = false;    ///< It was refused before and has come back.
+    Duration waitMax{-1};      ///< With a longer wait another server is better; below 0: any wait.
 };
 
 /** How a call ended at the hosting daemon. */
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -113,7 +113,7 @@
         return {Kind::Call,  m.offer,       binary(m.request.method), binary(m.request.path),
                 toJson(m.request.headers),  binary(m.request.body),   binary(m.requestId),
                 m.route,     m.instance,    m.rank,                   m.timeLeft.ms,
-                m.goalLeft.ms, m.idempotent, m.returning,             m.fingerprint};
+                m.goalLeft.ms, m.idempotent, m.returning,             m.fingerprint, m.waitMax.ms};
     }
     Json operator()(const LinkCancel &m) const { return {Kind::Cancel, m.offer}; }
     Json operator()(const LinkAsk &m) const { return {Kind::Ask, m.offer}; }
@@ -162,6 +162,7 @@
     m.idempotent = list.at(12).get<bool>();
     m.returning = list.at(13).get<bool>();
     m.fingerprint = list.at(14).get<std::uint64_t>();
+    m.waitMax = {list.at(15).get<std::int64_t>()};
     return m;
 }
 
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -46,6 +46,7 @@
     bool idempotent = false;       ///< True when it may be run again.
     bool returning = false;        ///< It was refused before and has come back.
     std::uint64_t fingerprint = 0; ///< Hash of the request.
+    Duration waitMax{-1};          ///< With a longer wait it is to be refused; below 0: any wait.
 };
 /** Gives up an offer. */
 struct LinkCancel
--- a/src/node/host_desk.cpp
+++ b/src/node/host_desk.cpp
@@ -86,6 +86,7 @@
     hosted.goal = now + call.goalLeft;
     hosted.instance = call.instance;
     hosted.returning = call.returning;
+    hosted.waitMax = call.waitMax;
     m_byOrigin[origin] = id;
     m_calls.emplace(id, Call{origin, std::move(call), now, hosted.deadline, false, false});
     carryOut(m_gate.offer(hosted, now));
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -182,6 +182,7 @@
     call.idempotent = plan.route->idempotent;
     call.returning = plan.returning;
     call.fingerprint = plan.fingerprint;
+    call.waitMax = action.waitMax;
     return call;
 }
 
--- a/src/spread/route_spread_type.h
+++ b/src/spread/route_spread_type.h
@@ -60,9 +60,9 @@
 /** Timeouts of the spread. */
 struct SpreadOptions
 {
-    unsigned watchers = 2;            ///< Daemons of a data centre that watch the store.
-    Duration watchWait = {2500};      ///< Longest wait of one watch.
-    Duration freshFor = {4500};       ///< A watcher that heard the store within this counts as sound.
+    unsigned watchers = 2;            ///< Daemons that watch the store, at least one in each data centre.
+    Duration watchWait = {4000};      ///< Longest wait of one watch.
+    Duration freshFor = {5200};       ///< A watcher that heard the store within this counts as sound.
     Duration settle = {1000};         ///< A new daemon links to others before it watches.
     Duration retryMin = {100};        ///< First pause after a failed call.
     Duration retryMax = {1500};       ///< Longest pause.
