--- a/src/cli/cli_func.cpp
+++ b/src/cli/cli_func.cpp
@@ -5,8 +5,8 @@
 #include "base/json_func.h"
 #include "base/result_code_func.h"
 #include "http/http_client.h"
-#include "store/http_object_store.h"
 #include "settings/settings_func.h"
+#include "store/http_object_store.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -5,10 +5,10 @@
 #include "base/clock.h"
 #include "control/control_node.h"
 #include "metrics/metrics.h"
-#include "store/http_object_store.h"
 #include "proxy/call_receiver.h"
 #include "proxy/shared_view.h"
 #include "settings/settings_type.h"
+#include "store/http_object_store.h"
 #include "timeline/timeline.h"
 
 #include <functional>
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,8 +6,8 @@
 #include "daemon/control_loop.h"
 #include "http/http_server.h"
 #include "log/log.h"
-#include "store/http_object_store.h"
 #include "proxy/call_handlers.h"
+#include "store/http_object_store.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,4 +1,5 @@
-/** @file dispatcher.cpp One request: offers until a server takes it, repeats where they do no harm. */
+/** @file dispatcher.cpp One request: offers until a server takes it, repeats where they do no harm.
+ */
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
@@ -11,9 +12,10 @@
 constexpr int UNAVAILABLE = 503;
 constexpr int GATEWAY_TIMEOUT = 504;
 constexpr int SERVER_ERROR = 500;
-constexpr unsigned RANKS_PER_PRIORITY = 4; ///< Calls of servers and returning requests go between priorities.
-constexpr unsigned RANK_CALL = 2;          ///< A call of a running request goes before new requests.
-constexpr unsigned RANK_RETURNING = 1;     ///< A request that came back goes before new ones.
+constexpr unsigned RANKS_PER_PRIORITY
+    = 4; ///< Calls of servers and returning requests go between priorities.
+constexpr unsigned RANK_CALL = 2;      ///< A call of a running request goes before new requests.
+constexpr unsigned RANK_RETURNING = 1; ///< A request that came back goes before new ones.
 constexpr double BYTES_PER_KB = 1024;
 constexpr double SIZE_SMOOTHING = 0.1;
 constexpr std::size_t ROUTES_MAX = 1024;
@@ -39,14 +41,13 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(PeerTable &table, ServiceBudget &budget,
-                       std::function<HostLoad()> localLoad, DispatchOptions options,
-                       std::uint64_t seed)
-    : m_table(table),
-      m_budget(budget),
-      m_localLoad(std::move(localLoad)),
-      m_options(options),
-      m_random(seed)
+Dispatcher::Dispatcher(PeerTable &table, ServiceBudget &budget, std::function<HostLoad()> localLoad,
+                       DispatchOptions options, std::uint64_t seed)
+    : m_table(table)
+    , m_budget(budget)
+    , m_localLoad(std::move(localLoad))
+    , m_options(options)
+    , m_random(seed)
 {}
 
 const FlightPlan *Dispatcher::plan(FlightId flight) const
@@ -75,10 +76,10 @@
     const auto size = m_kilobytes.find(flight.plan.route->name);
     request.kilobytes = static_cast<double>(flight.plan.bytes) / BYTES_PER_KB
                         + (size == m_kilobytes.end() ? 0 : size->second);
-    const auto chosen = flight.offers < m_options.offersMax
-                            ? chooseServer(m_table, m_localLoad(), request, m_options.choice, now,
-                                           m_random)
-                            : std::nullopt;
+    const auto chosen
+        = flight.offers < m_options.offersMax
+              ? chooseServer(m_table, m_localLoad(), request, m_options.choice, now, m_random)
+              : std::nullopt;
     if (!chosen) {
         refuse(id, flight, now, actions);
         return;
@@ -224,7 +225,8 @@
         answerOwn(id, status, flight.reason, {0}, actions);
         return;
     }
-    answerOwn(id, UNAVAILABLE, flight.reason == HostReason::None ? HostReason::NoServer : flight.reason,
+    answerOwn(id, UNAVAILABLE,
+              flight.reason == HostReason::None ? HostReason::NoServer : flight.reason,
               m_random.jitter(advice), actions);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,9 +13,9 @@
 /** Bounds of the dispatch. */
 struct DispatchOptions
 {
-    unsigned offersMax = 4;            ///< Daemons asked for one handing over.
-    Duration retryAfter = {150};       ///< Advice when nothing better is known.
-    ChoiceOptions choice;              ///< Weights of the choice.
+    unsigned offersMax = 4;      ///< Daemons asked for one handing over.
+    Duration retryAfter = {150}; ///< Advice when nothing better is known.
+    ChoiceOptions choice;        ///< Weights of the choice.
 };
 
 /** Events in, actions out; no input and output. */
@@ -59,15 +59,15 @@
     struct Flight
     {
         FlightPlan plan;
-        OfferId offer = 0;           ///< The open offer; 0 between offers.
-        ServerId daemon;             ///< Where it is.
-        bool lost = false;           ///< The link broke under it.
-        unsigned handed = 0;         ///< Servers that received it.
-        unsigned offers = 0;         ///< Daemons asked since it was handed to a server.
-        bool unknown = false;        ///< It may have been run by a server.
-        bool anyWait = false;        ///< The open offer was made with any wait.
-        std::set<ServerId> refused;  ///< Daemons that had no room.
-        Duration retryAfter{0};      ///< Shortest advice heard.
+        OfferId offer = 0;                    ///< The open offer; 0 between offers.
+        ServerId daemon;                      ///< Where it is.
+        bool lost = false;                    ///< The link broke under it.
+        unsigned handed = 0;                  ///< Servers that received it.
+        unsigned offers = 0;                  ///< Daemons asked since it was handed to a server.
+        bool unknown = false;                 ///< It may have been run by a server.
+        bool anyWait = false;                 ///< The open offer was made with any wait.
+        std::set<ServerId> refused;           ///< Daemons that had no room.
+        Duration retryAfter{0};               ///< Shortest advice heard.
         HostReason reason = HostReason::None; ///< Why the last offer failed.
         std::optional<HttpResponse> failure;  ///< The last failure that a server answered.
     };
--- a/src/dispatch/server_choice.cpp
+++ b/src/dispatch/server_choice.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr double RANDOM_STEPS = 1000;
-constexpr double DOUBT_MS = 400; ///< Added for a peer that is silent, so that it is the last choice.
+constexpr double DOUBT_MS
+    = 400; ///< Added for a peer that is silent, so that it is the last choice.
 
 double jitterFactor(const ChoiceOptions &options, Random &random)
 {
--- a/src/exchange/answer_reader.cpp
+++ b/src/exchange/answer_reader.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-constexpr std::size_t HEADER_BYTES = 65536;           ///< Longest header of an answer.
-constexpr std::size_t BODY_BYTES = 64 * 1024 * 1024;  ///< Longest body of an answer.
-constexpr unsigned FINAL_STATUS = 200;                ///< Statuses below it are interim.
-constexpr unsigned SWITCHING = 101;                   ///< Never asked for.
+constexpr std::size_t HEADER_BYTES = 65536;          ///< Longest header of an answer.
+constexpr std::size_t BODY_BYTES = 64 * 1024 * 1024; ///< Longest body of an answer.
+constexpr unsigned FINAL_STATUS = 200;               ///< Statuses below it are interim.
+constexpr unsigned SWITCHING = 101;                  ///< Never asked for.
 
 } // namespace
 
@@ -47,8 +47,8 @@
             return AnswerStep::NeedMore;
         m_begun = true;
         beast::error_code error;
-        const std::size_t used = m_parser->put(
-            boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
+        const std::size_t used
+            = m_parser->put(boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
         m_buffer.erase(0, used);
         if (error == beast::http::error::need_more)
             return AnswerStep::NeedMore;
--- a/src/exchange/message_func.cpp
+++ b/src/exchange/message_func.cpp
@@ -8,10 +8,17 @@
 
 namespace {
 
-constexpr const char *CONNECTION_FIELDS[]
-    = {"Connection",         "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-       "Proxy-Authorization", "TE",        "Trailer",          "Transfer-Encoding",
-       "Upgrade",            "Content-Length", "Expect"};
+constexpr const char *CONNECTION_FIELDS[] = {"Connection",
+                                             "Keep-Alive",
+                                             "Proxy-Connection",
+                                             "Proxy-Authenticate",
+                                             "Proxy-Authorization",
+                                             "TE",
+                                             "Trailer",
+                                             "Transfer-Encoding",
+                                             "Upgrade",
+                                             "Content-Length",
+                                             "Expect"};
 constexpr int NO_CONTENT = 204;
 constexpr int NOT_MODIFIED = 304;
 
--- a/src/exchange/request_reader.cpp
+++ b/src/exchange/request_reader.cpp
@@ -29,7 +29,8 @@
     return beast::iequals(fields[beast::http::field::transfer_encoding], "chunked");
 }
 
-/** @return true when the target is a path or `*`, without bytes that servers read in different ways. */
+/** @return true when the target is a path or `*`, without bytes that servers read in different
+ * ways. */
 bool targetIsPlain(beast::string_view target)
 {
     if (target.empty() || (target[0] != '/' && target != "*"))
@@ -81,8 +82,8 @@
             m_begun = true;
         }
         beast::error_code error;
-        const std::size_t used = m_parser->put(
-            boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
+        const std::size_t used
+            = m_parser->put(boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
         m_buffer.erase(0, used);
         if (error == beast::http::error::need_more) {
             if (!m_parser->is_header_done() && m_buffer.size() > m_limits.headerBytes)
@@ -96,7 +97,8 @@
         if (error)
             return refuse(BAD_REQUEST);
         if (m_parser->is_header_done()
-            && (!framingIsPlain(m_parser->get().base()) || !targetIsPlain(m_parser->get().target())))
+            && (!framingIsPlain(m_parser->get().base())
+                || !targetIsPlain(m_parser->get().target())))
             return refuse(BAD_REQUEST);
         if (used == 0 && !m_parser->is_done())
             return ReadStep::NeedMore;
@@ -113,8 +115,7 @@
 {
     if (m_continueAsked || !headerDone() || m_parser->is_done())
         return false;
-    const bool wants
-        = beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue");
+    const bool wants = beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue");
     m_continueAsked = wants;
     return wants;
 }
--- a/src/exchange/request_reader.h
+++ b/src/exchange/request_reader.h
@@ -22,7 +22,7 @@
 /** Bounds of what a caller may send. */
 struct RequestLimits
 {
-    std::size_t headerBytes = 16384;         ///< Request line and header fields.
+    std::size_t headerBytes = 16384;          ///< Request line and header fields.
     std::size_t bodyBytes = 64 * 1024 * 1024; ///< Body.
 };
 
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -50,9 +50,9 @@
 /** Timeouts of the directory. */
 struct DirectoryOptions
 {
-    Duration retryMin = {100};       ///< First pause after a failed call.
-    Duration retryMax = {2000};      ///< Longest pause.
-    Duration lookAgain = {12000};    ///< Pause between lists that may be stale.
+    Duration retryMin = {100};    ///< First pause after a failed call.
+    Duration retryMax = {2000};   ///< Longest pause.
+    Duration lookAgain = {12000}; ///< Pause between lists that may be stale.
 };
 
 /**
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -11,31 +11,31 @@
 /** Beliefs about one daemon. */
 struct Peer
 {
-    DaemonRecord record;        ///< As it announced itself.
-    bool linked = false;        ///< The link to it is open.
-    TimePoint linkedAt{0};      ///< Since when.
-    TimePoint heardAt{0};       ///< Last message.
-    HostLoad load;              ///< Load of the server beside it, as last told.
-    TimePoint loadAt{0};        ///< When that was told.
-    unsigned sent = 0;          ///< Calls under way from this daemon to it.
-    unsigned sentWhenTold = 0;  ///< The same when the load was told.
-    Revision version = 0;       ///< Version in force there, as last told.
-    Duration storeAge;          ///< How long ago it had heard from the platform's store.
-    bool leaving = false;       ///< The daemon is about to stop.
+    DaemonRecord record;       ///< As it announced itself.
+    bool linked = false;       ///< The link to it is open.
+    TimePoint linkedAt{0};     ///< Since when.
+    TimePoint heardAt{0};      ///< Last message.
+    HostLoad load;             ///< Load of the server beside it, as last told.
+    TimePoint loadAt{0};       ///< When that was told.
+    unsigned sent = 0;         ///< Calls under way from this daemon to it.
+    unsigned sentWhenTold = 0; ///< The same when the load was told.
+    Revision version = 0;      ///< Version in force there, as last told.
+    Duration storeAge;         ///< How long ago it had heard from the platform's store.
+    bool leaving = false;      ///< The daemon is about to stop.
 };
 
 /** Thresholds for beliefs. */
 struct PeerOptions
 {
-    Duration doubtAfter = {900}; ///< A peer silent for this long is chosen only when no other is left.
+    Duration doubtAfter
+        = {900}; ///< A peer silent for this long is chosen only when no other is left.
 };
 
 /** Peers by name. */
 class PeerTable
 {
 public:
-    PeerTable(DaemonRecord self, PeerOptions options)
-        : m_self(std::move(self)), m_options(options)
+    PeerTable(DaemonRecord self, PeerOptions options) : m_self(std::move(self)), m_options(options)
     {}
 
     /** @return this daemon. */
--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -8,16 +8,16 @@
 
 namespace {
 
-constexpr double WORK_SMOOTHING = 0.1;     ///< Weight of a new measurement of work.
-constexpr double FAIL_SMOOTHING = 0.05;    ///< Weight of a new result.
-constexpr double LEAST_OF_WORK = 0.4;      ///< With less of the usual time left a call is not begun.
-constexpr std::size_t ROUTES_MAX = 1024;   ///< Routes whose time is remembered.
-constexpr std::size_t GONE_MAX = 64;       ///< Servers that left, remembered.
+constexpr double WORK_SMOOTHING = 0.1;   ///< Weight of a new measurement of work.
+constexpr double FAIL_SMOOTHING = 0.05;  ///< Weight of a new result.
+constexpr double LEAST_OF_WORK = 0.4;    ///< With less of the usual time left a call is not begun.
+constexpr std::size_t ROUTES_MAX = 1024; ///< Routes whose time is remembered.
+constexpr std::size_t GONE_MAX = 64;     ///< Servers that left, remembered.
 
 constexpr const char *REASON_NAMES[]
-    = {"none",        "full",        "too_late",         "no_server",      "server_draining",
+    = {"none",           "full",        "too_late",         "no_server",      "server_draining",
        "daemon_leaving", "server_shed", "instance_changed", "connect_failed", "broken",
-       "garbled",     "crashed",     "link_lost",        "cancelled",      "quarantined",
+       "garbled",        "crashed",     "link_lost",        "cancelled",      "quarantined",
        "forgotten"};
 static_assert(std::size(REASON_NAMES) == static_cast<std::size_t>(HostReason::Count),
               "a name for each reason");
@@ -109,8 +109,7 @@
 
 HostDecision HostGate::refuse(HostCallId id, HostReason reason, Duration wait) const
 {
-    return {id, HostVerdict::Refuse, reason,
-            {std::max(m_options.retryAfterMin.ms, wait.ms)}};
+    return {id, HostVerdict::Refuse, reason, {std::max(m_options.retryAfterMin.ms, wait.ms)}};
 }
 
 double HostGate::workMs(const std::string &route) const
@@ -219,8 +218,7 @@
 {
     HostDecisions decisions;
     for (auto item = m_queue.begin(); item != m_queue.end();) {
-        const Duration least{
-            static_cast<std::int64_t>(workMs(item->second.route) * LEAST_OF_WORK)};
+        const Duration least{static_cast<std::int64_t>(workMs(item->second.route) * LEAST_OF_WORK)};
         if (now + least <= item->second.deadline) {
             ++item;
             continue;
--- a/src/hosting/host_gate.h
+++ b/src/hosting/host_gate.h
@@ -12,9 +12,9 @@
 /** Sizes of the gate. */
 struct HostOptions
 {
-    std::size_t queueMax = 256;        ///< Calls that wait.
-    double firstWorkMs = 150;          ///< Time of a request until one was measured.
-    Duration retryAfterMin = {60};     ///< Shortest advice.
+    std::size_t queueMax = 256;    ///< Calls that wait.
+    double firstWorkMs = 150;      ///< Time of a request until one was measured.
+    Duration retryAfterMin = {60}; ///< Shortest advice.
 };
 
 /** Events in, decisions out; no input and output. It alone knows the truth about its server. */
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -44,14 +44,14 @@
 /** What a server says of itself. */
 struct ServerReport
 {
-    std::string instance;                 ///< Identity.
-    ServiceName service;                  ///< Its service.
-    Endpoint address;                     ///< Where it listens.
-    unsigned slots = 0;                   ///< Requests that it runs at once.
-    bool draining = false;                ///< It leaves.
-    Duration coldLeft;                    ///< How much longer it is slow.
-    std::uint64_t sequence = 0;           ///< Grows with each report of one start.
-    std::int64_t born = 0;                ///< Time of day of its start, in milliseconds.
+    std::string instance;       ///< Identity.
+    ServiceName service;        ///< Its service.
+    Endpoint address;           ///< Where it listens.
+    unsigned slots = 0;         ///< Requests that it runs at once.
+    bool draining = false;      ///< It leaves.
+    Duration coldLeft;          ///< How much longer it is slow.
+    std::uint64_t sequence = 0; ///< Grows with each report of one start.
+    std::int64_t born = 0;      ///< Time of day of its start, in milliseconds.
 };
 
 /** What a server or another writer tells: a report, or that a server is gone. */
@@ -64,24 +64,24 @@
 /** A call as it is offered to the hosting daemon. */
 struct HostCall
 {
-    HostCallId id = 0;         ///< Its number.
-    std::string route;         ///< Name of the route; the time that its requests take is learnt.
-    unsigned rank = 0;         ///< Lower goes first.
-    TimePoint deadline;        ///< The caller waits no longer.
-    TimePoint goal;            ///< An answer by then is worth most.
-    std::string instance;      ///< Server that the sender means; empty for any.
-    bool returning = false;    ///< It was refused before and has come back.
-    Duration waitMax{-1};      ///< With a longer wait another server is better; below 0: any wait.
+    HostCallId id = 0;      ///< Its number.
+    std::string route;      ///< Name of the route; the time that its requests take is learnt.
+    unsigned rank = 0;      ///< Lower goes first.
+    TimePoint deadline;     ///< The caller waits no longer.
+    TimePoint goal;         ///< An answer by then is worth most.
+    std::string instance;   ///< Server that the sender means; empty for any.
+    bool returning = false; ///< It was refused before and has come back.
+    Duration waitMax{-1};   ///< With a longer wait another server is better; below 0: any wait.
 };
 
 /** How a call ended at the hosting daemon. */
 struct HostOutcome
 {
-    RunState state = RunState::NotRun;       ///< What is known of it.
-    HostReason reason = HostReason::None;    ///< Why.
-    bool handed = false;                     ///< A server received it.
-    HttpResponse response;                   ///< The server's answer, when there is one.
-    Duration retryAfter;                     ///< When room is expected.
+    RunState state = RunState::NotRun;    ///< What is known of it.
+    HostReason reason = HostReason::None; ///< Why.
+    bool handed = false;                  ///< A server received it.
+    HttpResponse response;                ///< The server's answer, when there is one.
+    Duration retryAfter;                  ///< When room is expected.
 };
 
 /** What becomes of a call now. */
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -10,7 +10,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t LENGTH_BYTES = 4;
-constexpr std::size_t COMPACT_BYTES = 65536; ///< Bytes read are dropped from the buffer beyond this.
+constexpr std::size_t COMPACT_BYTES
+    = 65536; ///< Bytes read are dropped from the buffer beyond this.
 
 /** Kinds of message, as they stand on the wire; the order of LinkMessage. */
 enum class Kind : std::uint8_t
@@ -60,9 +61,15 @@
 
 Json toJson(const HostLoad &load)
 {
-    return {load.instance, load.service.text(), static_cast<unsigned>(load.state), load.slots,
-            load.running,  load.queued,         static_cast<int>(load.workMs * 10),
-            static_cast<int>(load.failShare * 1000), load.cold};
+    return {load.instance,
+            load.service.text(),
+            static_cast<unsigned>(load.state),
+            load.slots,
+            load.running,
+            load.queued,
+            static_cast<int>(load.workMs * 10),
+            static_cast<int>(load.failShare * 1000),
+            load.cold};
 }
 
 HostLoad loadOf(const Json &list)
@@ -70,7 +77,8 @@
     HostLoad load;
     load.instance = list.at(0).get<std::string>();
     load.service = ServiceName(list.at(1).get<std::string>());
-    load.state = static_cast<HostState>(list.at(2).get<unsigned>() % static_cast<unsigned>(HostState::Count));
+    load.state = static_cast<HostState>(list.at(2).get<unsigned>()
+                                        % static_cast<unsigned>(HostState::Count));
     load.slots = list.at(3).get<unsigned>();
     load.running = list.at(4).get<unsigned>();
     load.queued = list.at(5).get<unsigned>();
@@ -82,8 +90,8 @@
 
 Json toJson(const DaemonRecord &record)
 {
-    return {record.name.text(), record.dataCentre.text(), record.link.ip, record.link.port,
-            record.service.text(), record.incarnation};
+    return {record.name.text(), record.dataCentre.text(), record.link.ip,
+            record.link.port,   record.service.text(),    record.incarnation};
 }
 
 DaemonRecord recordOf(const Json &list)
@@ -101,19 +109,31 @@
 {
     Json operator()(const LinkHello &m) const
     {
-        return {Kind::Hello, m.format, toJson(m.daemon), m.version};
+        return {Kind::Hello, m.format, toJson(m.daemon), m.version, m.to.text()};
     }
     Json operator()(const LinkState &m) const
     {
-        return {Kind::State,  m.name.text(),   m.incarnation, toJson(m.load),
-                m.version,    m.storeAge.ms,   m.leaving};
+        return {Kind::State, m.name.text(), m.incarnation, toJson(m.load),
+                m.version,   m.storeAge.ms, m.leaving};
     }
     Json operator()(const LinkCall &m) const
     {
-        return {Kind::Call,  m.offer,       binary(m.request.method), binary(m.request.path),
-                toJson(m.request.headers),  binary(m.request.body),   binary(m.requestId),
-                m.route,     m.instance,    m.rank,                   m.timeLeft.ms,
-                m.goalLeft.ms, m.idempotent, m.returning,             m.fingerprint, m.waitMax.ms};
+        return {Kind::Call,
+                m.offer,
+                binary(m.request.method),
+                binary(m.request.path),
+                toJson(m.request.headers),
+                binary(m.request.body),
+                binary(m.requestId),
+                m.route,
+                m.instance,
+                m.rank,
+                m.timeLeft.ms,
+                m.goalLeft.ms,
+                m.idempotent,
+                m.returning,
+                m.fingerprint,
+                m.waitMax.ms};
     }
     Json operator()(const LinkCancel &m) const { return {Kind::Cancel, m.offer}; }
     Json operator()(const LinkAsk &m) const { return {Kind::Ask, m.offer}; }
@@ -133,8 +153,8 @@
     Json operator()(const LinkRoutes &m) const { return {Kind::Routes, m.version, binary(m.text)}; }
     Json operator()(const LinkCrash &m) const
     {
-        return {Kind::Crash, m.report.fingerprint, m.report.server.text(), m.report.sequence,
-                m.report.entry.text(), m.report.age.ms};
+        return {Kind::Crash,       m.report.fingerprint,  m.report.server.text(),
+                m.report.sequence, m.report.entry.text(), m.report.age.ms};
     }
     Json operator()(const LinkMembers &m) const
     {
@@ -170,8 +190,8 @@
 {
     LinkResult m;
     m.offer = list.at(1).get<OfferId>();
-    m.outcome.state
-        = static_cast<RunState>(list.at(2).get<unsigned>() % static_cast<unsigned>(RunState::Count));
+    m.outcome.state = static_cast<RunState>(list.at(2).get<unsigned>()
+                                            % static_cast<unsigned>(RunState::Count));
     m.outcome.reason = static_cast<HostReason>(list.at(3).get<unsigned>()
                                                % static_cast<unsigned>(HostReason::Count));
     m.outcome.handed = list.at(4).get<bool>();
@@ -188,7 +208,7 @@
     switch (static_cast<Kind>(list.at(0).get<unsigned>())) {
     case Kind::Hello:
         return LinkHello{list.at(1).get<unsigned>(), recordOf(list.at(2)),
-                         list.at(3).get<Revision>()};
+                         list.at(3).get<Revision>(), ServerId(list.at(4).get<std::string>())};
     case Kind::State:
         return LinkState{ServerId(list.at(1).get<std::string>()),
                          list.at(2).get<std::uint64_t>(),
--- a/src/link/link_codec.h
+++ b/src/link/link_codec.h
@@ -25,7 +25,8 @@
     void feed(std::string_view bytes) { m_buffer.append(bytes); }
     /** @return true when a message is whole, or when the stream cannot be read on. */
     bool ready() const;
-    /** @return the next message after ready, or PeerMalformed, PeerTooLarge: the link has to end. */
+    /** @return the next message after ready, or PeerMalformed, PeerTooLarge: the link has to end.
+     */
     Result<LinkMessage> next();
 
 private:
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -21,6 +21,7 @@
     unsigned format = LINK_FORMAT; ///< Format that it speaks.
     DaemonRecord daemon;           ///< Who it is.
     Revision version = 0;          ///< Version that it has in force.
+    ServerId to;                   ///< Whom it means; an address may have got a new owner.
 };
 /** State of the accepting daemon; the first one answers the hello. */
 struct LinkState
--- a/src/log/decision_log.h
+++ b/src/log/decision_log.h
@@ -41,7 +41,7 @@
 struct DecisionLogOptions
 {
     DecisionLogLevel level = DecisionLogLevel::Bounded; ///< How much is written.
-    unsigned linesPerSecond = 200;      ///< Lines a second.
+    unsigned linesPerSecond = 200;                      ///< Lines a second.
     unsigned reservedForFailures = 120; ///< Of these, kept for what failed and for beliefs.
     std::size_t bufferBytes = 262144;   ///< Bytes that wait for the reader of the log.
 };
--- a/src/loop/tcp_connection.cpp
+++ b/src/loop/tcp_connection.cpp
@@ -17,10 +17,10 @@
 using Tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-constexpr std::size_t READ_BYTES = 8192;       ///< Bytes read at once.
-constexpr int BACKLOG = 1024;                  ///< Connections that wait to be accepted.
-constexpr unsigned SILENT_PEER_MS = 4000;      ///< Unacknowledged bytes end a connection after this.
-constexpr std::size_t ACCEPTS_AT_ONCE = 64;    ///< Connections taken in for one wake-up.
+constexpr std::size_t READ_BYTES = 8192;    ///< Bytes read at once.
+constexpr int BACKLOG = 1024;               ///< Connections that wait to be accepted.
+constexpr unsigned SILENT_PEER_MS = 4000;   ///< Unacknowledged bytes end a connection after this.
+constexpr std::size_t ACCEPTS_AT_ONCE = 64; ///< Connections taken in for one wake-up.
 
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t PIPELINE_MAX = 32;      ///< Requests read ahead on one connection.
+constexpr std::size_t PIPELINE_MAX = 32; ///< Requests read ahead on one connection.
 constexpr unsigned REQUEST_TIMEOUT = 408;
 constexpr const char *CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -22,12 +22,12 @@
 
 CallerSession::CallerSession(EventLoop &loop, CallerSessionOwner &owner,
                              TcpConnectionPtr connection, bool fromServer)
-    : m_loop(loop),
-      m_owner(owner),
-      m_connection(std::move(connection)),
-      m_reader(readerLimits(owner.limits())),
-      m_lastByte(loop.now()),
-      m_fromServer(fromServer)
+    : m_loop(loop)
+    , m_owner(owner)
+    , m_connection(std::move(connection))
+    , m_reader(readerLimits(owner.limits()))
+    , m_lastByte(loop.now())
+    , m_fromServer(fromServer)
 {}
 
 CallerSession::~CallerSession()
--- a/src/node/host_desk.cpp
+++ b/src/node/host_desk.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr Duration KEEP_OUTCOME{5000};   ///< Outcomes are kept for senders this long.
-constexpr std::size_t KEEP_MAX = 4096;   ///< Outcomes kept.
-constexpr Duration SUSPECT_FOR{400};     ///< Calls broken within this before a crash are suspects.
+constexpr Duration KEEP_OUTCOME{5000}; ///< Outcomes are kept for senders this long.
+constexpr std::size_t KEEP_MAX = 4096; ///< Outcomes kept.
+constexpr Duration SUSPECT_FOR{400};   ///< Calls broken within this before a crash are suspects.
 
 HostOutcome notRunOutcome(HostReason reason, Duration retryAfter)
 {
@@ -26,12 +26,12 @@
 
 HostDesk::HostDesk(EventLoop &loop, const CallFields &fields, HostDeskListener &listener,
                    DecisionLog &log)
-    : m_loop(loop),
-      m_fields(fields),
-      m_listener(listener),
-      m_log(log),
-      m_gate(HostOptions()),
-      m_pool(loop, fields, [this](HostCallId id, const ServerResult &result) { ended(id, result); })
+    : m_loop(loop)
+    , m_fields(fields)
+    , m_listener(listener)
+    , m_log(log)
+    , m_gate(HostOptions())
+    , m_pool(loop, fields, [this](HostCallId id, const ServerResult &result) { ended(id, result); })
 {}
 
 void HostDesk::report(const ServerReport &report)
@@ -129,8 +129,8 @@
     HostOutcome outcome = result.outcome;
     const bool broken = outcome.reason == HostReason::Broken;
     if (broken)
-        m_suspects.emplace_back(now, std::make_pair(found->second.call.fingerprint,
-                                                    found->second.call.route));
+        m_suspects.emplace_back(
+            now, std::make_pair(found->second.call.fingerprint, found->second.call.route));
     HostDecisions decisions = m_gate.finished(id, result.finish, result.work, now);
     finish(id, outcome);
     carryOut(decisions);
@@ -180,20 +180,19 @@
     m_calls.erase(found);
     m_byOrigin.erase(call.origin);
     const TimePoint now = m_loop.now();
-    m_log.request(
-        "hosted", outcome.state != RunState::Answered, [&](LogFields &fields) {
-            fields.add("request", call.call.requestId);
-            fields.add("from", call.origin.daemon.text());
-            fields.add("offer", call.origin.offer);
-            fields.add("route", call.call.route);
-            fields.add("state", runStateName(outcome.state));
-            fields.add("reason", hostReasonName(outcome.reason));
-            fields.add("status", std::int64_t{outcome.response.status});
-            fields.add("held_ms", (now - call.arrived).ms);
-            fields.add("left_ms", (call.deadline - now).ms);
-            fields.add("running", std::uint64_t{m_gate.running()});
-            fields.add("waiting", std::uint64_t{m_gate.waiting()});
-        });
+    m_log.request("hosted", outcome.state != RunState::Answered, [&](LogFields &fields) {
+        fields.add("request", call.call.requestId);
+        fields.add("from", call.origin.daemon.text());
+        fields.add("offer", call.origin.offer);
+        fields.add("route", call.call.route);
+        fields.add("state", runStateName(outcome.state));
+        fields.add("reason", hostReasonName(outcome.reason));
+        fields.add("status", std::int64_t{outcome.response.status});
+        fields.add("held_ms", (now - call.arrived).ms);
+        fields.add("left_ms", (call.deadline - now).ms);
+        fields.add("running", std::uint64_t{m_gate.running()});
+        fields.add("waiting", std::uint64_t{m_gate.waiting()});
+    });
     if (!call.call.idempotent) {
         m_kept[call.origin] = {outcome, now + KEEP_OUTCOME};
         m_keptOrder.emplace_back(now + KEEP_OUTCOME, call.origin);
--- a/src/node/host_desk.h
+++ b/src/node/host_desk.h
@@ -60,7 +60,8 @@
     void cancel(const CallOrigin &origin);
     /** The sender's link broke: what may be repeated is given up, the rest goes on. */
     void senderLost(const ServerId &daemon, std::uint64_t incarnation);
-    /** The sender asks on a new link how a call ended. @return the outcome; nothing while it runs. */
+    /** The sender asks on a new link how a call ended. @return the outcome; nothing while it runs.
+     */
     std::optional<HostOutcome> ask(const CallOrigin &origin);
     /** Time passes. */
     void tick();
@@ -108,7 +109,8 @@
     std::map<CallOrigin, HostCallId> m_byOrigin;
     std::map<CallOrigin, Kept> m_kept;
     std::deque<std::pair<TimePoint, CallOrigin>> m_keptOrder;
-    std::deque<std::pair<TimePoint, std::pair<std::uint64_t, std::string>>> m_suspects; ///< Broken lately.
+    std::deque<std::pair<TimePoint, std::pair<std::uint64_t, std::string>>>
+        m_suspects; ///< Broken lately.
     HostCallId m_lastCall = 0;
 };
 
--- a/src/node/http_service.cpp
+++ b/src/node/http_service.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::size_t SESSIONS_MAX = 64;             ///< Connections at once.
-constexpr RequestLimits LIMITS{16384, 1024 * 1024};  ///< Questions are short.
+constexpr std::size_t SESSIONS_MAX = 64;            ///< Connections at once.
+constexpr RequestLimits LIMITS{16384, 1024 * 1024}; ///< Questions are short.
 
 } // namespace
 
@@ -41,8 +41,7 @@
             }
             const IncomingRequest incoming = m_reader.take();
             const HttpResponse answer = m_service.m_handler(incoming.request);
-            m_connection->write(
-                answerBytes(answer, incoming.request.method, !incoming.keepAlive));
+            m_connection->write(answerBytes(answer, incoming.request.method, !incoming.keepAlive));
             if (!incoming.keepAlive) {
                 end();
                 return;
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -24,8 +24,8 @@
     void open()
     {
         heard = m_links.m_loop.now();
-        m_connection = TcpConnection::open(m_links.m_loop, m_record.link,
-                                           m_links.m_options.connect, *this);
+        m_connection
+            = TcpConnection::open(m_links.m_loop, m_record.link, m_links.m_options.connect, *this);
     }
 
     void connected() override
@@ -33,6 +33,7 @@
         LinkHello hello;
         hello.daemon = m_links.m_table.self();
         hello.version = m_links.m_listener.routesVersion();
+        hello.to = m_record.name;
         m_connection->write(encodeLinkMessage(hello));
     }
 
@@ -83,8 +84,9 @@
         }
         if (state != nullptr && !up) {
             if (state->name != m_record.name) {
-                // Another daemon has the address now.
+                const ServerId gone = m_record.name;
                 close();
+                m_links.m_listener.peerGone(gone);
                 return;
             }
             up = true;
@@ -157,8 +159,14 @@
         if (const auto *hello = std::get_if<LinkHello>(&message)) {
             if (!peer.name.empty() || hello->format != LINK_FORMAT)
                 return false;
+            if (hello->to != m_links.m_table.self().name) {
+                // The state tells the opener whom it has reached; its own link here stays.
+                send(encodeLinkMessage(m_links.m_listener.linkState()));
+                return true;
+            }
             peer = hello->daemon;
             m_links.replaceSender(*this);
+            m_links.m_retries.erase(peer.name);
             m_links.m_listener.peerAnnounced(peer);
             send(encodeLinkMessage(m_links.m_listener.linkState()));
             return true;
@@ -183,17 +191,17 @@
 
 Result<void> PeerLinks::listen()
 {
-    BOOST_OUTCOME_TRY(socket, TcpListener::listen(m_loop, m_table.self().link,
-                                                  [this](TcpConnectionPtr connection) {
-                                                      if (m_nameless.size() >= NAMELESS_MAX) {
-                                                          connection->close();
-                                                          return;
-                                                      }
-                                                      const auto accepted = std::make_shared<Accepted>(
-                                                          *this, std::move(connection));
-                                                      m_nameless.insert(accepted);
-                                                      accepted->start();
-                                                  }));
+    BOOST_OUTCOME_TRY(
+        socket,
+        TcpListener::listen(m_loop, m_table.self().link, [this](TcpConnectionPtr connection) {
+            if (m_nameless.size() >= NAMELESS_MAX) {
+                connection->close();
+                return;
+            }
+            const auto accepted = std::make_shared<Accepted>(*this, std::move(connection));
+            m_nameless.insert(accepted);
+            accepted->start();
+        }));
     m_listenerSocket = std::move(socket);
     return success();
 }
@@ -298,13 +306,17 @@
     m_loop.after({0}, [link = found->second] {});
     m_opened.erase(found);
     Retry &retry = m_retries[peer];
+    const TimePoint now = m_loop.now();
+    if (retry.pause.ms == 0)
+        retry.since = now;
     retry.pause = {std::clamp(retry.pause.ms * 2, m_options.retryMin.ms, m_options.retryMax.ms)};
-    retry.at = m_loop.now() + retry.pause;
+    retry.at = now + (now - retry.since > m_options.goneAfter ? m_options.goneRetry : retry.pause);
     if (wasUp)
         m_listener.linkDown(peer);
 }
 
-/** A daemon has one link here: the one before is closed first, so that nothing of it is still run. */
+/** A daemon has one link here: the one before is closed first, so that nothing of it is still run.
+ */
 void PeerLinks::replaceSender(Accepted &accepted)
 {
     const auto self = accepted.shared_from_this();
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -27,6 +27,8 @@
     virtual void linkDown(const ServerId &peer) = 0;
     /** A link that a peer opened is down. */
     virtual void senderLost(const ServerId &peer, std::uint64_t incarnation) = 0;
+    /** Another daemon has the peer's address: it is gone. */
+    virtual void peerGone(const ServerId &peer) = 0;
     /** A peer announced itself. */
     virtual void peerAnnounced(const DaemonRecord &record) = 0;
     /** A message of a peer, on the link that this daemon opened. */
@@ -43,6 +45,8 @@
     Duration connect = {800};     ///< Longest wait for a link to open.
     Duration retryMin = {150};    ///< First pause before a peer is tried again.
     Duration retryMax = {1500};   ///< Longest pause.
+    Duration goneAfter = {15000}; ///< A peer out of reach for this long is tried rarely.
+    Duration goneRetry = {6000};  ///< Pause between these tries.
     std::size_t linksMax = 96;    ///< Links that are opened; with more peers, the nearest by hash.
 };
 
@@ -93,6 +97,7 @@
     {
         Duration pause{0};
         TimePoint at{0};
+        TimePoint since{0};
     };
     std::map<ServerId, Retry> m_retries;
     TimePoint m_nextHeartbeat{0};
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -1,4 +1,5 @@
-/** @file platform_adapter.h What a platform's dialect has to translate; no decision and no state. */
+/** @file platform_adapter.h What a platform's dialect has to translate; no decision and no state.
+ */
 #pragma once
 
 #include "fleet/directory.h"
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-constexpr Duration TICK{100};              ///< Pause between looks at what is due.
-constexpr Duration STORE_TIMEOUT{3000};    ///< Longest wait for an answer of the store.
-constexpr Duration WATCH_SLACK{1500};      ///< A watch is given up this long after its wait.
-constexpr Duration LEAVE_AFTER{2300};      ///< Callers have learnt by then that the daemon leaves.
-constexpr Duration QUIET_BEFORE_END{300};  ///< No request for this long before the end.
-constexpr Duration GRACE_RESERVE{700};     ///< Time kept of the grace for the last answers.
-constexpr unsigned READY_DENIALS = 2;      ///< After so many the platform sends nobody any more.
-constexpr unsigned CRASHES_MAX = 3;        ///< Crashes after which a request is refused.
+constexpr Duration TICK{100};             ///< Pause between looks at what is due.
+constexpr Duration STORE_TIMEOUT{3000};   ///< Longest wait for an answer of the store.
+constexpr Duration WATCH_SLACK{1500};     ///< A watch is given up this long after its wait.
+constexpr Duration LEAVE_AFTER{2300};     ///< Callers have learnt by then that the daemon leaves.
+constexpr Duration QUIET_BEFORE_END{300}; ///< No request for this long before the end.
+constexpr Duration GRACE_RESERVE{500};    ///< Time kept of the grace for the last answers.
+constexpr unsigned READY_DENIALS = 2;     ///< After so many the platform sends nobody any more.
+constexpr unsigned CRASHES_MAX = 3;       ///< Crashes after which a request is refused.
 
 QuarantineOptions quarantineOptions()
 {
@@ -38,30 +38,30 @@
 
 ProxyNode::ProxyNode(EventLoop &loop, const PlatformAdapter &adapter, NodeSettings settings,
                      std::string settingsPath)
-    : m_loop(loop),
-      m_adapter(adapter),
-      m_settings(std::move(settings)),
-      m_settingsPath(std::move(settingsPath)),
-      m_log(loop.clock(), DecisionLogOptions()),
-      m_peers(m_settings.self, PeerOptions()),
-      m_budget(m_settings.repeats),
-      m_quarantine(quarantineOptions()),
-      m_desk(loop, adapter.callFields(), *this, m_log),
-      m_dispatcher(
+    : m_loop(loop)
+    , m_adapter(adapter)
+    , m_settings(std::move(settings))
+    , m_settingsPath(std::move(settingsPath))
+    , m_log(loop.clock(), DecisionLogOptions())
+    , m_peers(m_settings.self, PeerOptions())
+    , m_budget(m_settings.repeats)
+    , m_quarantine(quarantineOptions())
+    , m_desk(loop, adapter.callFields(), *this, m_log)
+    , m_dispatcher(
           m_peers, m_budget, [this] { return m_desk.load(); }, DispatchOptions(),
-          seedOf(m_settings)),
-      m_spread(
+          seedOf(m_settings))
+    , m_spread(
           m_peers,
           [this](const std::string &text) -> Result<RouteTablePtr> {
               BOOST_OUTCOME_TRY(document, m_adapter.routeDocument(text));
               return RouteTable::build(std::move(document));
           },
-          SpreadOptions(), seedOf(m_settings) + 1),
-      m_directory(m_peers, DirectoryOptions(), seedOf(m_settings) + 2),
-      m_rotation(seedOf(m_settings)),
-      m_links(loop, m_peers, *this, PeerLinkOptions()),
-      m_store(loop, m_settings.store),
-      m_watchStore(loop, m_settings.store)
+          SpreadOptions(), seedOf(m_settings) + 1)
+    , m_directory(m_peers, DirectoryOptions(), seedOf(m_settings) + 2)
+    , m_rotation(seedOf(m_settings))
+    , m_links(loop, m_peers, *this, PeerLinkOptions())
+    , m_store(loop, m_settings.store)
+    , m_watchStore(loop, m_settings.store)
 {
     m_log.setIdentity(m_settings.self.name.text(), m_settings.self.dataCentre.text());
 }
@@ -78,18 +78,17 @@
                       HttpService::listen(m_loop, m_settings.listen.reports,
                                           [this](const HttpRequest &r) { return reportRead(r); }));
     m_reportService = std::move(reports);
-    BOOST_OUTCOME_TRY(ready, HttpService::listen(
-                                 m_loop, m_settings.listen.ready,
-                                 [this](const HttpRequest &r) { return readyAsked(r); }));
+    BOOST_OUTCOME_TRY(ready,
+                      HttpService::listen(m_loop, m_settings.listen.ready,
+                                          [this](const HttpRequest &r) { return readyAsked(r); }));
     m_readyService = std::move(ready);
     if (m_settings.listen.metrics.port != 0) {
-        BOOST_OUTCOME_TRY(metrics,
-                          HttpService::listen(m_loop, m_settings.listen.metrics,
-                                              [this](const HttpRequest &) {
-                                                  HttpResponse response;
-                                                  response.body = m_metrics.text();
-                                                  return response;
-                                              }));
+        BOOST_OUTCOME_TRY(metrics, HttpService::listen(m_loop, m_settings.listen.metrics,
+                                                       [this](const HttpRequest &) {
+                                                           HttpResponse response;
+                                                           response.body = m_metrics.text();
+                                                           return response;
+                                                       }));
         m_metricsService = std::move(metrics);
     }
     BOOST_OUTCOME_TRY(calls, TcpListener::listen(m_loop, m_settings.listen.calls,
@@ -159,6 +158,13 @@
     m_links.tellState();
 }
 
+bool ProxyNode::endsBefore(TimePoint deadline) const
+{
+    if (!m_leaving || m_loop.now() - m_leavingSince < LEAVE_AFTER)
+        return false;
+    return deadline > m_leavingSince + m_settings.grace - GRACE_RESERVE;
+}
+
 /** The daemon ends when callers have learnt that it leaves and nothing is under way. */
 void ProxyNode::checkLeft()
 {
@@ -166,8 +172,8 @@
     const Duration since = now - m_leavingSince;
     const bool late = since >= m_settings.grace - GRACE_RESERVE;
     const bool known = since >= LEAVE_AFTER || m_readyDenied >= READY_DENIALS;
-    const bool quiet = m_flights.empty() && m_desk.busy() == 0
-                       && now - m_lastRequest >= QUIET_BEFORE_END;
+    const bool quiet
+        = m_flights.empty() && m_desk.busy() == 0 && now - m_lastRequest >= QUIET_BEFORE_END;
     if (!late && !(known && quiet))
         return;
     perform(m_dispatcher.endAll(now));
@@ -219,14 +225,13 @@
 
 void ProxyNode::perform(const ReadRoutes &)
 {
-    m_watchStore.call(m_adapter.readRoutes(), STORE_TIMEOUT,
-                      [this](const Result<HttpResponse> &answer) {
-                          const Result<StoredRoutes> read
-                              = answer ? m_adapter.routesRead(answer.value())
-                                       : Result<StoredRoutes>(
-                                           boost::outcome_v2::failure(answer.error()));
-                          perform(m_spread.readAnswered(read, m_loop.now()));
-                      });
+    m_watchStore.call(
+        m_adapter.readRoutes(), STORE_TIMEOUT, [this](const Result<HttpResponse> &answer) {
+            const Result<StoredRoutes> read
+                = answer ? m_adapter.routesRead(answer.value())
+                         : Result<StoredRoutes>(boost::outcome_v2::failure(answer.error()));
+            perform(m_spread.readAnswered(read, m_loop.now()));
+        });
 }
 
 void ProxyNode::perform(const WatchRoutes &action)
@@ -287,9 +292,9 @@
     m_store.call(m_adapter.announce(m_settings.self, action.revision), STORE_TIMEOUT,
                  [this](const Result<HttpResponse> &answer) {
                      const Result<AnnounceAnswer> read
-                         = answer ? m_adapter.announced(answer.value())
-                                  : Result<AnnounceAnswer>(
-                                      boost::outcome_v2::failure(answer.error()));
+                         = answer
+                               ? m_adapter.announced(answer.value())
+                               : Result<AnnounceAnswer>(boost::outcome_v2::failure(answer.error()));
                      perform(m_directory.announced(read, m_loop.now()));
                  });
 }
@@ -300,8 +305,7 @@
                  [this](const Result<HttpResponse> &answer) {
                      const Result<DaemonPage> read
                          = answer ? m_adapter.daemonsListed(answer.value())
-                                  : Result<DaemonPage>(
-                                      boost::outcome_v2::failure(answer.error()));
+                                  : Result<DaemonPage>(boost::outcome_v2::failure(answer.error()));
                      perform(m_directory.listed(read, m_loop.now()));
                      m_links.tick();
                  });
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -1,4 +1,5 @@
-/** @file proxy_node.h The daemon on one event loop: the slices' decisions and their input and output. */
+/** @file proxy_node.h The daemon on one event loop: the slices' decisions and their input and
+ * output. */
 #pragma once
 
 #include "base/random.h"
@@ -96,6 +97,7 @@
     void linkUp(const ServerId &peer, bool restarted) override;
     void linkDown(const ServerId &peer) override;
     void senderLost(const ServerId &peer, std::uint64_t incarnation) override;
+    void peerGone(const ServerId &peer) override;
     void peerAnnounced(const DaemonRecord &record) override;
     void answerReceived(const ServerId &peer, LinkMessage message) override;
     void requestReceived(const DaemonRecord &peer, LinkMessage message) override;
@@ -117,6 +119,9 @@
 
     void tick();
     void checkLeft();
+    /** @return true when a request that may last until then is not to be begun: the process ends.
+     */
+    bool endsBefore(TimePoint deadline) const;
     void logLife(const char *event);
 
     EventLoop &m_loop;
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -15,8 +15,9 @@
 constexpr int NOT_FOUND = 404;
 constexpr int UNAVAILABLE = 503;
 constexpr double MS_PER_SECOND = 1000;
-constexpr Duration NO_ROUTES_RETRY{300};     ///< Advice while no version is known.
-constexpr Duration RETURN_WITHIN{3000};      ///< A refused request is known again for this long.
+constexpr Duration NO_ROUTES_RETRY{300}; ///< Advice while no version is known.
+constexpr Duration LEAVING_RETRY{20};    ///< Advice while the daemon leaves: others serve at once.
+constexpr Duration RETURN_WITHIN{3000};  ///< A refused request is known again for this long.
 
 /** @return milliseconds that the caller waits; the route's timeout when it does not say. */
 Duration callerTime(std::string_view value, Duration fallback)
@@ -129,6 +130,10 @@
         answerOwn({id, UNAVAILABLE, HostReason::Quarantined, seconds(1)});
         return;
     }
+    if (endsBefore(plan.deadline)) {
+        answerOwn({id, UNAVAILABLE, HostReason::DaemonLeaving, LEAVING_RETRY});
+        return;
+    }
     flight.request = std::move(incoming.request);
     flight.timer = m_loop.after(plan.deadline - now, [this, id] {
         const auto found = m_flights.find(id);
@@ -243,14 +248,14 @@
     const auto found = m_flights.find(own.flight);
     if (found == m_flights.end())
         return;
-    const ResultCode code = own.status == NOT_FOUND ? ResultCode::CallUnknownKind
-                                                    : codeOf(own.reason, own.status);
+    const ResultCode code
+        = own.status == NOT_FOUND ? ResultCode::CallUnknownKind : codeOf(own.reason, own.status);
     HttpResponse response = ownResponse(own.status, code, found->second.requestId);
     if (own.status == UNAVAILABLE)
         response.headers.add(m_adapter.callFields().retryAfter, secondsText(own.retryAfter));
-    m_metrics.count("calls_refused_total",
-                    std::string("reason=\"") + hostReasonName(own.reason) + "\",status=\""
-                        + std::to_string(own.status) + "\"");
+    m_metrics.count("calls_refused_total", std::string("reason=\"") + hostReasonName(own.reason)
+                                               + "\",status=\"" + std::to_string(own.status)
+                                               + "\"");
     m_log.request("own_answer", true, [&](LogFields &fields) {
         fields.add("request", found->second.requestId);
         fields.add("reason", hostReasonName(own.reason));
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -93,6 +93,12 @@
     m_desk.senderLost(peer, incarnation);
 }
 
+void ProxyNode::peerGone(const ServerId &name)
+{
+    m_log.belief("peer_gone", [&](LogFields &fields) { fields.add("peer", name.text()); });
+    m_peers.forget(name);
+}
+
 void ProxyNode::peerAnnounced(const DaemonRecord &record)
 {
     m_peers.learn(record, true);
--- a/src/node/return_memory.h
+++ b/src/node/return_memory.h
@@ -16,7 +16,8 @@
 public:
     /** A request was refused. */
     void refused(std::uint64_t fingerprint, TimePoint goal, TimePoint until);
-    /** @return the goal of the first try, when this request was refused before; it is forgotten then. */
+    /** @return the goal of the first try, when this request was refused before; it is forgotten
+     * then. */
     std::optional<TimePoint> take(std::uint64_t fingerprint, TimePoint now);
 
 private:
--- a/src/node/server_pool.cpp
+++ b/src/node/server_pool.cpp
@@ -12,13 +12,14 @@
 namespace {
 
 constexpr Duration CONNECT_TIMEOUT{1000};
-constexpr Duration IDLE_DEFAULT{6000};   ///< An idle connection is used within this, when the server names no time.
-constexpr int STRAY_ANSWERS_MAX = 3;     ///< Answers to other requests that are read past.
+constexpr Duration IDLE_DEFAULT{
+    6000}; ///< An idle connection is used within this, when the server names no time.
+constexpr int STRAY_ANSWERS_MAX = 3; ///< Answers to other requests that are read past.
 constexpr int MISDIRECTED = 421;
 constexpr int SERVER_ERROR = 500;
 constexpr int SUCCESS_MIN = 200;
 constexpr int SUCCESS_MAX = 299;
-constexpr double IDLE_SHARE = 0.6;       ///< Part of the server's time within which a connection is used.
+constexpr double IDLE_SHARE = 0.6; ///< Part of the server's time within which a connection is used.
 constexpr double MS_PER_SECOND = 1000;
 
 /** @return how long an idle connection may be used again. */
@@ -51,8 +52,8 @@
     const bool own = response.headers.get(fields.requestId) == requestId;
     if (response.headers.has(fields.notRun) && (own || !response.headers.has(fields.requestId))) {
         outcome.state = RunState::NotRun;
-        outcome.reason = response.status == MISDIRECTED ? HostReason::InstanceChanged
-                                                        : HostReason::ServerShed;
+        outcome.reason
+            = response.status == MISDIRECTED ? HostReason::InstanceChanged : HostReason::ServerShed;
         return outcome;
     }
     if (response.status == MISDIRECTED) {
@@ -121,8 +122,7 @@
             return;
         }
         if (!m_sent) {
-            ServerResult result
-                = failedResult(RunState::NotRun, HostReason::ConnectFailed, false);
+            ServerResult result = failedResult(RunState::NotRun, HostReason::ConnectFailed, false);
             result.refused = end == ConnectionEnd::Refused;
             finish(result, false);
             return;
@@ -134,10 +134,10 @@
         finish(failedResult(RunState::Unknown, HostReason::Broken, true), false);
     }
 
-    ServerRequest current;   ///< The request under way; id 0 when idle.
-    Endpoint address;        ///< Where it is connected to.
-    TimePoint startedAt{0};  ///< When the request was handed over.
-    TimePoint idleUntil{0};  ///< When an idle connection is not used any more.
+    ServerRequest current;  ///< The request under way; id 0 when idle.
+    Endpoint address;       ///< Where it is connected to.
+    TimePoint startedAt{0}; ///< When the request was handed over.
+    TimePoint idleUntil{0}; ///< When an idle connection is not used any more.
 
 private:
     void sendNow()
@@ -227,8 +227,8 @@
 {
 public:
     Probe(ServerPool &pool, const Endpoint &server, std::function<void(bool)> callback)
-        : m_callback(std::move(callback)),
-          m_connection(TcpConnection::open(pool.m_loop, server, CONNECT_TIMEOUT, *this))
+        : m_callback(std::move(callback))
+        , m_connection(TcpConnection::open(pool.m_loop, server, CONNECT_TIMEOUT, *this))
     {}
 
     void connected() override
--- a/src/node/server_pool.h
+++ b/src/node/server_pool.h
@@ -1,4 +1,5 @@
-/** @file server_pool.h Connections to the server beside this daemon; one request on each at a time. */
+/** @file server_pool.h Connections to the server beside this daemon; one request on each at a time.
+ */
 #pragma once
 
 #include "hosting/hosting_type.h"
@@ -24,11 +25,11 @@
 /** How a request to the server ended. */
 struct ServerResult
 {
-    HostOutcome outcome;                  ///< What is known.
+    HostOutcome outcome;                    ///< What is known.
     HostFinish finish = HostFinish::Broken; ///< The same, for the gate.
-    Duration work;                        ///< Time from the hand-over to the end.
-    bool refused = false;                 ///< The server does not listen.
-    bool otherInstance = false;           ///< Another server answered.
+    Duration work;                          ///< Time from the hand-over to the end.
+    bool refused = false;                   ///< The server does not listen.
+    bool otherInstance = false;             ///< Another server answered.
 };
 
 /** Sends requests to one address; keeps connections for later ones. */
@@ -73,7 +74,8 @@
  * @param response The answer.
  * @param requestId Identifier that it has to echo.
  * @param fields Names of header fields.
- * @return what is known of the request now; Unknown with Garbled when it is not the server's answer.
+ * @return what is known of the request now; Unknown with Garbled when it is not the server's
+ * answer.
  */
 HostOutcome judgeAnswer(HttpResponse response, const std::string &requestId,
                         const CallFields &fields);
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -89,8 +89,8 @@
     if (!m_reader.keepAlive() || m_reader.hasExtraBytes())
         drop();
     if (response.status == TOO_MANY || response.status == UNAVAILABLE) {
-        finishFirst(fail(ResultCode::PlatformThrottled,
-                         "status " + std::to_string(response.status), formatEndpoint(m_store)));
+        finishFirst(fail(ResultCode::PlatformThrottled, "status " + std::to_string(response.status),
+                         formatEndpoint(m_store)));
         return;
     }
     finishFirst(response);
--- a/src/proxy/call_receiver.h
+++ b/src/proxy/call_receiver.h
@@ -7,11 +7,11 @@
 #include "delivery/key_ledger.h"
 #include "http/http_client.h"
 #include "limits/limit_window.h"
-#include "store/object_store.h"
 #include "proxy/admission_gate.h"
 #include "proxy/call_registry.h"
 #include "proxy/call_type.h"
 #include "settings/settings_type.h"
+#include "store/object_store.h"
 
 #include <atomic>
 #include <functional>
--- a/src/retry/service_budget.h
+++ b/src/retry/service_budget.h
@@ -12,8 +12,8 @@
 /** The fleet's budget, of which each daemon takes its part without asking the others. */
 struct ServiceBudgetOptions
 {
-    double ratio = 0.1;        ///< Repeats earned by one request of the service.
-    double slack = 30;         ///< Repeats of the whole fleet that need not be earned.
+    double ratio = 0.1;            ///< Repeats earned by one request of the service.
+    double slack = 30;             ///< Repeats of the whole fleet that need not be earned.
     Duration window = seconds(10); ///< Time in which the slack may be used once.
 };
 
--- a/src/routes/route_type.h
+++ b/src/routes/route_type.h
@@ -1,4 +1,5 @@
-/** @file route_type.h Routes: what the catalogue's entries become on the daemons that carry calls. */
+/** @file route_type.h Routes: what the catalogue's entries become on the daemons that carry calls.
+ */
 #pragma once
 
 #include "base/clock_type.h"
@@ -20,15 +21,15 @@
 /** How requests of one host and path prefix are carried. */
 struct Route
 {
-    std::string name;              ///< Name, for people.
-    std::string host;              ///< Host, in lower case and without port.
-    std::string prefix;            ///< Path prefix; begins and ends with a slash.
-    bool idempotent = false;       ///< True when running a request twice does no harm.
-    Duration timeout;              ///< Longest time that a request is kept waiting.
-    Duration goal;                 ///< Time within which an answer is worth most.
-    unsigned priority = 0;         ///< Rank; 0 goes first.
-    unsigned attemptsMax = 1;      ///< Servers that one request may be handed to.
-    std::vector<RoutePart> parts;  ///< Services that run it; at least one.
+    std::string name;             ///< Name, for people.
+    std::string host;             ///< Host, in lower case and without port.
+    std::string prefix;           ///< Path prefix; begins and ends with a slash.
+    bool idempotent = false;      ///< True when running a request twice does no harm.
+    Duration timeout;             ///< Longest time that a request is kept waiting.
+    Duration goal;                ///< Time within which an answer is worth most.
+    unsigned priority = 0;        ///< Rank; 0 goes first.
+    unsigned attemptsMax = 1;     ///< Servers that one request may be handed to.
+    std::vector<RoutePart> parts; ///< Services that run it; at least one.
 };
 
 /** A service that routes may name. */
--- a/src/routes/split_rotation.cpp
+++ b/src/routes/split_rotation.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t STATES_MAX = 4096; ///< Routes remembered.
+constexpr std::size_t STATES_MAX = 4096;    ///< Routes remembered.
 constexpr std::uint64_t OFFSET_STEPS = 101; ///< Rotations begin at one of this many places.
 
 } // namespace
@@ -36,10 +36,12 @@
     std::size_t best = route.parts.size();
     for (std::size_t i = 0; i < route.parts.size(); i++) {
         state.credit[i] += state.weights[i];
-        if (state.weights[i] > 0 && (best == route.parts.size() || state.credit[i] > state.credit[best]))
+        if (state.weights[i] > 0
+            && (best == route.parts.size() || state.credit[i] > state.credit[best]))
             best = i;
     }
-    state.credit[best] -= std::accumulate(state.weights.begin(), state.weights.end(), std::int64_t{0});
+    state.credit[best]
+        -= std::accumulate(state.weights.begin(), state.weights.end(), std::int64_t{0});
     return best;
 }
 
--- a/src/spread/route_spread.cpp
+++ b/src/spread/route_spread.cpp
@@ -134,11 +134,11 @@
             fresh++;
     }
     // Watchers of other data centres push here too, so one in each is enough.
-    const bool others = std::any_of(
-        m_peers.peers().begin(), m_peers.peers().end(), [&](const auto &item) {
-            return item.second.record.dataCentre != m_peers.self().dataCentre
-                   && m_peers.isSound(item.second, now);
-        });
+    const bool others
+        = std::any_of(m_peers.peers().begin(), m_peers.peers().end(), [&](const auto &item) {
+              return item.second.record.dataCentre != m_peers.self().dataCentre
+                     && m_peers.isSound(item.second, now);
+          });
     return fresh < (others ? (m_options.watchers + 1) / 2 : m_options.watchers);
 }
 
--- a/src/spread/route_spread.h
+++ b/src/spread/route_spread.h
@@ -1,4 +1,5 @@
-/** @file route_spread.h How versions of the routes reach this daemon and its peers: the decision. */
+/** @file route_spread.h How versions of the routes reach this daemon and its peers: the decision.
+ */
 #pragma once
 
 #include "base/random.h"
--- a/src/spread/route_spread_type.h
+++ b/src/spread/route_spread_type.h
@@ -53,22 +53,22 @@
     Error error;          ///< Why it does not.
 };
 /** An action of the spread. */
-using SpreadAction = std::variant<ReadRoutes, WatchRoutes, ApplyRoutes, PushRoutes, RejectRoutes,
-                                  StoreChanged>;
+using SpreadAction
+    = std::variant<ReadRoutes, WatchRoutes, ApplyRoutes, PushRoutes, RejectRoutes, StoreChanged>;
 using SpreadActions = std::vector<SpreadAction>;
 
 /** Timeouts of the spread. */
 struct SpreadOptions
 {
-    unsigned watchers = 2;            ///< Daemons that watch the store, at least one in each data centre.
-    Duration watchWait = {4000};      ///< Longest wait of one watch.
-    Duration freshFor = {5200};       ///< A watcher that heard the store within this counts as sound.
-    Duration settle = {1000};         ///< A new daemon links to others before it watches.
-    Duration retryMin = {100};        ///< First pause after a failed call.
-    Duration retryMax = {1500};       ///< Longest pause.
-    Duration pushNear = {30};         ///< Pause before a second watcher pushes in its data centre.
-    Duration pushFar = {350};         ///< Pause before a watcher pushes elsewhere.
-    Duration pushOther = {1200};      ///< Pause before a daemon that does not watch pushes.
+    unsigned watchers = 2; ///< Daemons that watch the store, at least one in each data centre.
+    Duration watchWait = {4000}; ///< Longest wait of one watch.
+    Duration freshFor = {5200};  ///< A watcher that heard the store within this counts as sound.
+    Duration settle = {1000};    ///< A new daemon links to others before it watches.
+    Duration retryMin = {100};   ///< First pause after a failed call.
+    Duration retryMax = {1500};  ///< Longest pause.
+    Duration pushNear = {30};    ///< Pause before a second watcher pushes in its data centre.
+    Duration pushFar = {350};    ///< Pause before a watcher pushes elsewhere.
+    Duration pushOther = {1200}; ///< Pause before a daemon that does not watch pushes.
 };
 
 } // namespace cornelwell
