--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -10,6 +10,10 @@
 
 constexpr double WORK_SMOOTHING = 0.1;   ///< Weight of a new measurement of work.
 constexpr double FAIL_SMOOTHING = 0.05;  ///< Weight of a new result.
+constexpr double SHARE_SMOOTHING = 0.03; ///< Weight of a new start in the shares of ranks.
+constexpr double SHARE_MAX = 0.0;        ///< However much goes before a rank, it is not hopeless.
+constexpr double WORK_MARGIN = 1.0;      ///< Times the usual work, for a call that is admitted.
+constexpr std::size_t LOOK_AHEAD = 32;   ///< Waiting calls of a rank that are compared.
 constexpr double LEAST_OF_WORK = 0.4;    ///< With less of the usual time left a call is not begun.
 constexpr std::size_t ROUTES_MAX = 1024; ///< Routes whose time is remembered.
 constexpr std::size_t GONE_MAX = 64;     ///< Servers that left, remembered.
@@ -127,9 +131,15 @@
     const std::size_t busy = m_running.size() + ahead + 1;
     if (busy <= m_server.slots || m_server.slots == 0)
         return {0};
+    // Calls of better ranks that are still to come will go before this one.
+    double better = 0;
+    for (const auto &[other, share] : m_rankShare) {
+        if (other < rank)
+            better += share;
+    }
     const double mean = m_meanMs > 0 ? m_meanMs : m_options.firstWorkMs;
-    return {static_cast<std::int64_t>(static_cast<double>(busy - m_server.slots) * mean
-                                      / m_server.slots)};
+    const double wait = static_cast<double>(busy - m_server.slots) * mean / m_server.slots;
+    return {static_cast<std::int64_t>(wait / (1 - std::min(SHARE_MAX, better)))};
 }
 
 HostReason HostGate::refusal(const HostCall &call, TimePoint now) const
@@ -151,7 +161,7 @@
         return HostReason::None;
     if (call.waitMax.ms >= 0 && wait > call.waitMax)
         return HostReason::Full;
-    const Duration whole = wait + Duration{static_cast<std::int64_t>(work)};
+    const Duration whole = wait + Duration{static_cast<std::int64_t>(work * WORK_MARGIN)};
     if (m_queue.size() >= m_options.queueMax || now + whole > call.deadline)
         return HostReason::Full;
     // Those that were refused before are kept past the goal: a second refusal costs most.
@@ -169,11 +179,33 @@
     return startWaiting(now);
 }
 
+/** @return the first call of the best rank that can still meet its goal, else the first at all. */
+std::map<HostGate::QueueKey, HostCall>::iterator HostGate::nextWaiting(TimePoint now)
+{
+    const auto first = m_queue.begin();
+    std::size_t seen = 0;
+    for (auto item = first;
+         item != m_queue.end() && item->first.first == first->first.first && seen < LOOK_AHEAD;
+         ++item, ++seen) {
+        const Duration work{static_cast<std::int64_t>(workMs(item->second.route))};
+        if (now + work <= item->second.goal)
+            return item;
+    }
+    return first;
+}
+
+void HostGate::noteStart(unsigned rank)
+{
+    for (auto &[other, share] : m_rankShare)
+        share *= 1 - SHARE_SMOOTHING;
+    m_rankShare[rank] += SHARE_SMOOTHING;
+}
+
 HostDecisions HostGate::startWaiting(TimePoint now)
 {
     HostDecisions decisions;
     while (m_state == HostState::Ready && !m_queue.empty() && m_running.size() < m_server.slots) {
-        const auto first = m_queue.begin();
+        const auto first = nextWaiting(now);
         HostCall call = std::move(first->second);
         m_queue.erase(first);
         const Duration least{static_cast<std::int64_t>(workMs(call.route) * LEAST_OF_WORK)};
@@ -181,6 +213,7 @@
             decisions.push_back(refuse(call.id, HostReason::TooLate, {0}));
             continue;
         }
+        noteStart(call.rank);
         decisions.push_back({call.id, HostVerdict::Start, HostReason::None, {0}});
         m_running.emplace(call.id, std::move(call));
     }
--- a/src/hosting/host_gate.h
+++ b/src/hosting/host_gate.h
@@ -65,6 +65,8 @@
     HostDecisions startWaiting(TimePoint now);
     double workMs(const std::string &route) const;
     Duration waitFor(unsigned rank) const;
+    std::map<QueueKey, HostCall>::iterator nextWaiting(TimePoint now);
+    void noteStart(unsigned rank);
     HostReason refusal(const HostCall &call, TimePoint now) const;
     HostDecision refuse(HostCallId id, HostReason reason, Duration wait) const;
 
@@ -77,6 +79,7 @@
     std::map<QueueKey, HostCall> m_queue;
     std::unordered_map<HostCallId, HostCall> m_running;
     std::unordered_map<std::string, double> m_workMs; ///< Mean time by route.
+    std::map<unsigned, double> m_rankShare;           ///< Share of recent starts by rank.
     double m_meanMs = 0;
     double m_failShare = 0;
 };
