Feature: hosting: the queue holds only calls that can meet a goal

Change: a waiting call that can no longer meet its goal is refused; one that came back after its goal may wait 150 ms for a gap; the refusal 'busier' (another server is better) is told from 'full', so that a full server is not asked again.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -26,8 +26,6 @@
     unsigned rank = plan.route->priority * RANKS_PER_PRIORITY + RANK_CALL + RANK_RETURNING;
     if (plan.fromServer)
         rank -= RANK_CALL;
-    if (plan.returning)
-        rank -= RANK_RETURNING;
     return rank;
 }
 
@@ -144,7 +142,7 @@
         m_flights.erase(id);
         break;
     case RunState::NotRun:
-        if (outcome.reason != HostReason::Full || flight.anyWait)
+        if (outcome.reason != HostReason::Busier)
             flight.refused.insert(daemon);
         notRun(id, flight, outcome, now, actions);
         break;
--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -18,11 +18,12 @@
 constexpr std::size_t ROUTES_MAX = 1024; ///< Routes whose time is remembered.
 constexpr std::size_t GONE_MAX = 64;     ///< Servers that left, remembered.
 
-constexpr const char *REASON_NAMES[]
-    = {"none",           "full",        "too_late",         "no_server",      "server_draining",
-       "daemon_leaving", "server_shed", "instance_changed", "connect_failed", "broken",
-       "garbled",        "crashed",     "link_lost",        "cancelled",      "quarantined",
-       "forgotten"};
+constexpr const char *REASON_NAMES[] = {"none",           "full",        "busier",
+                                        "too_late",       "no_server",   "server_draining",
+                                        "daemon_leaving", "server_shed", "instance_changed",
+                                        "connect_failed", "broken",      "garbled",
+                                        "crashed",        "link_lost",   "cancelled",
+                                        "quarantined",    "forgotten"};
 static_assert(std::size(REASON_NAMES) == static_cast<std::size_t>(HostReason::Count),
               "a name for each reason");
 
@@ -142,7 +143,7 @@
     return {static_cast<std::int64_t>(wait / (1 - std::min(SHARE_MAX, better)))};
 }
 
-HostReason HostGate::refusal(const HostCall &call, TimePoint now) const
+HostReason HostGate::refusal(HostCall &call, TimePoint now) const
 {
     if (m_leaving)
         return HostReason::DaemonLeaving;
@@ -160,17 +161,19 @@
     if (wait.ms == 0)
         return HostReason::None;
     if (call.waitMax.ms >= 0 && wait > call.waitMax)
-        return HostReason::Full;
+        return HostReason::Busier;
     const Duration whole = wait + Duration{static_cast<std::int64_t>(work * WORK_MARGIN)};
     if (m_queue.size() >= m_options.queueMax || now + whole > call.deadline)
         return HostReason::Full;
-    // Those that were refused before are kept past the goal: a second refusal costs most.
-    if (!call.returning && now + whole > call.goal)
+    // What came back too late for its goal fills gaps; it does not push out what is still in time.
+    if (call.returning && now + whole > call.goal)
+        call.goal = now + m_options.lateWait + Duration{static_cast<std::int64_t>(work)};
+    if (now + whole > call.goal)
         return HostReason::Full;
     return HostReason::None;
 }
 
-HostDecisions HostGate::offer(const HostCall &call, TimePoint now)
+HostDecisions HostGate::offer(HostCall call, TimePoint now)
 {
     const HostReason reason = refusal(call, now);
     if (reason != HostReason::None)
@@ -251,6 +254,14 @@
 {
     HostDecisions decisions;
     for (auto item = m_queue.begin(); item != m_queue.end();) {
+        const HostCall &call = item->second;
+        const Duration work{static_cast<std::int64_t>(workMs(call.route))};
+        // Better told soon: its caller may still come back in time.
+        if (now + work > call.goal && m_queue.size() * 2 > m_server.slots) {
+            decisions.push_back(refuse(call.id, HostReason::Full, {0}));
+            item = m_queue.erase(item);
+            continue;
+        }
         const Duration least{static_cast<std::int64_t>(workMs(item->second.route) * LEAST_OF_WORK)};
         if (now + least <= item->second.deadline) {
             ++item;
--- a/src/hosting/host_gate.h
+++ b/src/hosting/host_gate.h
@@ -15,6 +15,7 @@
     std::size_t queueMax = 256;    ///< Calls that wait.
     double firstWorkMs = 150;      ///< Time of a request until one was measured.
     Duration retryAfterMin = {60}; ///< Shortest advice.
+    Duration lateWait = {150};     ///< Longest wait of a call that came back after its goal.
 };
 
 /** Events in, decisions out; no input and output. It alone knows the truth about its server. */
@@ -38,7 +39,7 @@
     HostDecisions beginLeaving(TimePoint now);
 
     /** A call arrives; no decision means that it waits. */
-    HostDecisions offer(const HostCall &call, TimePoint now);
+    HostDecisions offer(HostCall call, TimePoint now);
     /** A call that was handed over ended. @param work Time at the server. */
     HostDecisions finished(HostCallId id, HostFinish how, Duration work, TimePoint now);
     /** A waiting call is given up. @return true when it was waiting. */
@@ -67,7 +68,7 @@
     Duration waitFor(unsigned rank) const;
     std::map<QueueKey, HostCall>::iterator nextWaiting(TimePoint now);
     void noteStart(unsigned rank);
-    HostReason refusal(const HostCall &call, TimePoint now) const;
+    HostReason refusal(HostCall &call, TimePoint now) const;
     HostDecision refuse(HostCallId id, HostReason reason, Duration wait) const;
 
     const HostOptions m_options;
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -21,6 +21,7 @@
 {
     None,            ///< It was answered by the server.
     Full,            ///< It would wait too long.
+    Busier,          ///< It would wait longer than the sender allows for this server.
     TooLate,         ///< It cannot end before its deadline.
     NoServer,        ///< No server is ready beside the daemon.
     ServerDraining,  ///< The server is leaving.
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -39,6 +39,7 @@
 {
     switch (reason) {
     case HostReason::Full:
+    case HostReason::Busier:
     case HostReason::ServerShed:
         return ResultCode::CallOverloaded;
     case HostReason::TooLate:
