Codechange: node: heartbeats only where nothing else was sent, rarer to other data centres

Change: a result counts as a heartbeat; 800 ms to other data centres; a kilobyte across counts as 45 ms in the choice.

--- a/src/dispatch/server_choice.h
+++ b/src/dispatch/server_choice.h
@@ -17,7 +17,7 @@
     double failurePenalty = 6.0;    ///< Times the expected time, for a server that fails all.
     double coldPenalty = 1.0;       ///< Times the expected time, for a server that is cold.
     double otherCentreMs = 4;       ///< For a server in another data centre.
-    double otherCentreMsPerKb = 25; ///< For each kilobyte that crosses.
+    double otherCentreMsPerKb = 45; ///< For each kilobyte that crosses.
     double jitter = 0.06;           ///< Spread that keeps daemons from choosing alike.
 };
 
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -28,7 +28,7 @@
 struct PeerOptions
 {
     Duration doubtAfter
-        = {900}; ///< A peer silent for this long is chosen only when no other is left.
+        = {1300}; ///< A peer silent for this long is chosen only when no other is left.
 };
 
 /** Peers by name. */
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -71,6 +71,8 @@
         m_links.closed(m_record.name, up);
     }
 
+    bool near() const { return m_record.dataCentre == m_links.m_table.self().dataCentre; }
+
     bool up = false;
     TimePoint heard{0};
 
@@ -139,6 +141,7 @@
             close();
             return;
         }
+        sentAt = m_links.m_loop.now();
         m_connection->write(bytes);
     }
 
@@ -151,7 +154,8 @@
         m_links.acceptedEnded(*this);
     }
 
-    DaemonRecord peer; ///< Set by the hello.
+    DaemonRecord peer;   ///< Set by the hello.
+    TimePoint sentAt{0}; ///< Last message sent; each carries the load.
 
 private:
     bool take(LinkMessage message)
@@ -242,19 +246,34 @@
     const TimePoint now = m_loop.now();
     std::vector<std::shared_ptr<Opened>> silent;
     for (const auto &[name, link] : m_opened) {
-        if (link->up && now - link->heard > m_options.silence)
+        const Duration bound = link->near() ? m_options.silence : m_options.silence * 2;
+        if (link->up && now - link->heard > bound)
             silent.push_back(link);
     }
     for (const auto &link : silent)
         link->close();
     openWanted(now);
-    if (now >= m_nextHeartbeat)
-        tellState();
+    heartbeats(now);
+}
+
+/** Tells the state where nothing was sent for a while: results carry the load too. */
+void PeerLinks::heartbeats(TimePoint now)
+{
+    std::vector<std::shared_ptr<Accepted>> due;
+    for (const auto &[name, link] : m_accepted) {
+        const bool near = link->peer.dataCentre == m_table.self().dataCentre;
+        if (now - link->sentAt >= (near ? m_options.heartbeat : m_options.farHeartbeat))
+            due.push_back(link);
+    }
+    if (due.empty())
+        return;
+    const std::string bytes = encodeLinkMessage(m_listener.linkState());
+    for (const auto &link : due)
+        link->send(bytes);
 }
 
 void PeerLinks::tellState()
 {
-    m_nextHeartbeat = m_loop.now() + m_options.heartbeat;
     const std::string bytes = encodeLinkMessage(m_listener.linkState());
     const auto all = m_accepted;
     for (const auto &[name, link] : all)
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -40,8 +40,10 @@
 /** Timeouts of links. */
 struct PeerLinkOptions
 {
-    Duration heartbeat = {400};   ///< Pause between states told.
-    Duration silence = {1700};    ///< A link silent for this long is closed.
+    Duration heartbeat = {400};    ///< Pause between states told inside the data centre.
+    Duration farHeartbeat = {800}; ///< The same to other data centres, where bytes cost.
+    Duration silence
+        = {1700}; ///< A link silent for this long is closed; twice that to other data centres.
     Duration connect = {800};     ///< Longest wait for a link to open.
     Duration retryMin = {150};    ///< First pause before a peer is tried again.
     Duration retryMax = {1500};   ///< Longest pause.
@@ -78,6 +80,7 @@
     class Accepted;
 
     void openWanted(TimePoint now);
+    void heartbeats(TimePoint now);
     std::set<ServerId> wanted() const;
     void closed(const ServerId &peer, bool wasUp);
     void replaceSender(Accepted &accepted);
@@ -100,7 +103,6 @@
         TimePoint since{0};
     };
     std::map<ServerId, Retry> m_retries;
-    TimePoint m_nextHeartbeat{0};
 };
 
 } // namespace cornelwell
