Feature: dispatch: servers are chosen by expected loss

Cause: a linear expected time does not see that a slow server misses the goal of one lookup in fifteen while a wait of 100 ms at a fast one misses none, nor what a kilobyte across costs against that. Change: loss = missed goal and deadline (log-normal time), failures, bytes between data centres, a little for time itself; time of a route is learnt by the sender, speed by what servers tell; the longest wait offered is where the next server loses as much.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -17,7 +17,8 @@
 constexpr unsigned RANK_CALL = 2;      ///< A call of a running request goes before new requests.
 constexpr unsigned RANK_RETURNING = 1; ///< A request that came back goes before new ones.
 constexpr double BYTES_PER_KB = 1024;
-constexpr double SIZE_SMOOTHING = 0.1;
+constexpr double HEADERS_KB = 0.5; ///< Header fields and framing, both ways.
+constexpr double SMOOTHING = 0.1;
 constexpr std::size_t ROUTES_MAX = 1024;
 constexpr std::int64_t LEAST_TIME_MS = 20; ///< With less time left no further offer is made.
 
@@ -70,10 +71,17 @@
         refuse(id, flight, now, actions);
         return;
     }
-    ChoiceRequest request{flight.plan.service, flight.refused, 0};
-    const auto size = m_kilobytes.find(flight.plan.route->name);
-    request.kilobytes = static_cast<double>(flight.plan.bytes) / BYTES_PER_KB
-                        + (size == m_kilobytes.end() ? 0 : size->second);
+    ChoiceRequest request;
+    request.service = flight.plan.service;
+    request.except = flight.refused;
+    request.kilobytes = static_cast<double>(flight.plan.bytes) / BYTES_PER_KB + HEADERS_KB;
+    request.goalMs = static_cast<double>((flight.plan.goal - now).ms);
+    request.deadlineMs = static_cast<double>((flight.plan.deadline - now).ms);
+    const auto usual = m_usual.find(flight.plan.route->name);
+    if (usual != m_usual.end()) {
+        request.kilobytes += usual->second.kilobytes;
+        request.workMs = usual->second.workMs;
+    }
     const auto chosen
         = flight.offers < m_options.offersMax
               ? chooseServer(m_table, m_localLoad(), request, m_options.choice, now, m_random)
@@ -108,13 +116,16 @@
     flight.lost = false;
 }
 
-void Dispatcher::learnSize(const Flight &flight, const HttpResponse &response)
+void Dispatcher::learn(const Flight &flight, const HostOutcome &outcome)
 {
-    if (m_kilobytes.size() >= ROUTES_MAX)
-        m_kilobytes.clear();
-    double &mean = m_kilobytes[flight.plan.route->name];
-    const double size = static_cast<double>(response.body.size()) / BYTES_PER_KB;
-    mean = mean == 0 ? size : mean + SIZE_SMOOTHING * (size - mean);
+    if (m_usual.size() >= ROUTES_MAX)
+        m_usual.clear();
+    const auto [position, added] = m_usual.try_emplace(flight.plan.route->name);
+    Usual &usual = position->second;
+    const double size = static_cast<double>(outcome.response.body.size()) / BYTES_PER_KB;
+    const auto work = static_cast<double>(outcome.work.ms);
+    usual.kilobytes += (added ? 1 : SMOOTHING) * (size - usual.kilobytes);
+    usual.workMs += (added ? 1 : SMOOTHING) * (work - usual.workMs);
 }
 
 DispatchActions Dispatcher::ended(OfferId offer, const HostOutcome &outcome, TimePoint now)
@@ -137,7 +148,7 @@
             failed(id, flight, outcome, now, actions);
             break;
         }
-        learnSize(flight, outcome.response);
+        learn(flight, outcome);
         actions.push_back(PassAnswer{id, outcome.response});
         m_flights.erase(id);
         break;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -84,7 +84,7 @@
     void answerOwn(FlightId id, int status, HostReason reason, Duration retryAfter,
                    DispatchActions &actions);
     void cancelOpen(Flight &flight, DispatchActions &actions);
-    void learnSize(const Flight &flight, const HttpResponse &response);
+    void learn(const Flight &flight, const HostOutcome &outcome);
 
     PeerTable &m_table;
     ServiceBudget &m_budget;
@@ -93,7 +93,13 @@
     Random m_random;
     Flights m_flights;
     std::unordered_map<OfferId, FlightId> m_offers;
-    std::unordered_map<std::string, double> m_kilobytes; ///< Mean size of a route's answers.
+    /** What is usual for the calls of a route. */
+    struct Usual
+    {
+        double kilobytes = 0;
+        double workMs = 0;
+    };
+    std::unordered_map<std::string, Usual> m_usual;
     OfferId m_lastOffer = 0;
 };
 
--- a/src/dispatch/server_choice.cpp
+++ b/src/dispatch/server_choice.cpp
@@ -1,22 +1,28 @@
-/** @file server_choice.cpp Least expected time, own data centre before others. */
+/** @file server_choice.cpp Least expected loss: missed goals, failures, bytes between data centres.
+ */
 #include "dispatch/server_choice.h"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace cornelwell {
 
 namespace {
 
 constexpr double RANDOM_STEPS = 1000;
-constexpr double DOUBT_MS
-    = 400; ///< Added for a peer that is silent, so that it is the last choice.
+constexpr int HALVINGS = 7;            ///< Steps of the search for the longest wait.
+constexpr double WAIT_LIMIT_MS = 3000; ///< Longer waits are not told apart.
 
-double jitterFactor(const ChoiceOptions &options, Random &random)
+/** A server as the choice sees it. */
+struct Option
 {
-    const double share = static_cast<double>(random.below(static_cast<std::uint64_t>(RANDOM_STEPS)))
-                         / RANDOM_STEPS;
-    return 1 + options.jitter * (2 * share - 1);
-}
+    ServerId name;
+    const HostLoad *load = nullptr;
+    unsigned pending = 0;
+    bool other = false;
+    bool doubtful = false;
+};
 
 /** Requests at the peer's server: what it told, and what was sent to it since. */
 unsigned pendingAt(const Peer &peer)
@@ -26,69 +32,120 @@
     return std::max(told + since, peer.sent);
 }
 
-/** The two best so far. */
-struct Ranking
+std::vector<Option> optionsFor(const PeerTable &table, const HostLoad &local,
+                               const ChoiceRequest &request, TimePoint now)
 {
-    std::optional<Candidate> best;
-    std::optional<Candidate> second;
+    std::vector<Option> options;
+    const auto fits = [&](const HostLoad &load, const ServerId &name) {
+        return load.service == request.service && load.state == HostState::Ready
+               && request.except.count(name) == 0;
+    };
+    if (fits(local, table.self().name))
+        options.push_back({table.self().name, &local, local.running + local.queued, false, false});
+    for (const auto &[name, peer] : table.peers()) {
+        if (peer.linked && !peer.leaving && fits(peer.load, name))
+            options.push_back({name, &peer.load, pendingAt(peer),
+                               peer.record.dataCentre != table.self().dataCentre,
+                               !table.isSound(peer, now)});
+    }
+    return options;
+}
 
-    void add(Candidate candidate)
-    {
-        if (!best || candidate.cost < best->cost) {
-            second = std::move(best);
-            best = std::move(candidate);
-        } else if (!second || candidate.cost < second->cost) {
-            second = std::move(candidate);
-        }
+double meanWork(const std::vector<Option> &options, double fallback)
+{
+    double sum = 0;
+    unsigned count = 0;
+    for (const Option &option : options) {
+        if (option.load->workMs <= 0)
+            continue;
+        sum += option.load->workMs;
+        count++;
     }
-};
+    return count == 0 ? fallback : sum / count;
+}
 
-} // namespace
+/** @return share of a log-normal time that lies above a bound. */
+double shareAbove(double meanMs, double boundMs, double spread)
+{
+    if (boundMs <= 0)
+        return 1;
+    const double median = meanMs * std::exp(-spread * spread / 2);
+    return 0.5 * std::erfc(std::log(boundMs / median) / (spread * std::sqrt(2.0)));
+}
 
-Expectation expectationOf(const HostLoad &load, unsigned pending, const ChoiceOptions &options)
+Candidate candidateOf(const Option &option, double fleetMean, const ChoiceRequest &request,
+                      const ChoiceOptions &weights, Random &random)
 {
+    const HostLoad &load = *option.load;
+    const double told = load.workMs > 0 ? load.workMs : fleetMean;
+    const double usual = request.workMs > 0 ? request.workMs : fleetMean;
     const double slots = std::max(1U, load.slots);
-    const double work = load.workMs > 0 ? load.workMs : options.firstWorkMs;
-    const double busy = (pending + 1) / slots;
-    Expectation expected;
-    expected.workMs = work * (1 + options.busyShare * std::min(1.0, busy));
-    expected.workMs *= 1 + options.failurePenalty * load.failShare;
-    if (load.cold)
-        expected.workMs *= 1 + options.coldPenalty;
-    if (busy > 1)
-        expected.waitMs = work * (busy - 1);
-    return expected;
+    const double busy = (option.pending + 1) / slots;
+    const double step = static_cast<double>(random.below(static_cast<std::uint64_t>(RANDOM_STEPS)));
+    Candidate candidate;
+    candidate.name = option.name;
+    candidate.instance = load.instance;
+    candidate.workMs = usual * told / fleetMean * (1 + weights.busyShare * std::min(1.0, busy))
+                       * (load.cold ? weights.coldFactor : 1)
+                       * (1 + weights.jitter * (2 * step / RANDOM_STEPS - 1));
+    candidate.waitMs = busy > 1 ? told * (busy - 1) : 0;
+    candidate.fixedLoss = weights.failLoss * load.failShare;
+    if (option.other)
+        candidate.fixedLoss
+            += weights.otherCentreLoss + weights.otherCentreLossPerKb * request.kilobytes;
+    if (option.doubtful)
+        candidate.fixedLoss += weights.doubtLoss;
+    candidate.loss
+        = candidate.fixedLoss + lossByTime(candidate.workMs, candidate.waitMs, request, weights);
+    return candidate;
+}
+
+/** @return the wait at which the candidate loses as much as @p loss. */
+double waitAtLoss(const Candidate &candidate, double loss, const ChoiceRequest &request,
+                  const ChoiceOptions &weights)
+{
+    double low = 0;
+    double high = WAIT_LIMIT_MS;
+    for (int i = 0; i < HALVINGS; i++) {
+        const double middle = (low + high) / 2;
+        if (candidate.fixedLoss + lossByTime(candidate.workMs, middle, request, weights) <= loss)
+            low = middle;
+        else
+            high = middle;
+    }
+    return low;
+}
+
+} // namespace
+
+double lossByTime(double workMs, double waitMs, const ChoiceRequest &request,
+                  const ChoiceOptions &options)
+{
+    return options.lateLoss * shareAbove(workMs, request.goalMs - waitMs, options.spread)
+           + options.deadLoss * shareAbove(workMs, request.deadlineMs - waitMs, options.spread)
+           + options.lossPerMs * (workMs + waitMs);
 }
 
 std::optional<Candidate> chooseServer(const PeerTable &table, const HostLoad &local,
                                       const ChoiceRequest &request, const ChoiceOptions &options,
                                       TimePoint now, Random &random)
 {
-    Ranking ranking;
-    const ServerId &self = table.self().name;
-    if (local.service == request.service && local.state == HostState::Ready
-        && request.except.count(self) == 0) {
-        const Expectation expected = expectationOf(local, local.running + local.queued, options);
-        const double cost = (expected.workMs + expected.waitMs) * jitterFactor(options, random);
-        ranking.add({self, local.instance, cost, expected.waitMs, 0});
-    }
-    for (const auto &[name, peer] : table.peers()) {
-        if (peer.load.service != request.service || peer.load.state != HostState::Ready
-            || !peer.linked || peer.leaving || request.except.count(name) != 0)
-            continue;
-        const Expectation expected = expectationOf(peer.load, pendingAt(peer), options);
-        double cost = (expected.workMs + expected.waitMs) * jitterFactor(options, random);
-        if (peer.record.dataCentre != table.self().dataCentre)
-            cost += options.otherCentreMs + options.otherCentreMsPerKb * request.kilobytes;
-        if (!table.isSound(peer, now))
-            cost += DOUBT_MS;
-        ranking.add({name, peer.load.instance, cost, expected.waitMs, 0});
-    }
-    if (ranking.best) {
-        Candidate &best = *ranking.best;
-        best.waitMaxMs = ranking.second ? ranking.second->cost - (best.cost - best.waitMs) : -1;
+    const std::vector<Option> all = optionsFor(table, local, request, now);
+    const double fleetMean = meanWork(all, options.firstWorkMs);
+    std::optional<Candidate> best;
+    std::optional<Candidate> second;
+    for (const Option &option : all) {
+        Candidate candidate = candidateOf(option, fleetMean, request, options, random);
+        if (!best || candidate.loss < best->loss) {
+            second = std::move(best);
+            best = std::move(candidate);
+        } else if (!second || candidate.loss < second->loss) {
+            second = std::move(candidate);
+        }
     }
-    return ranking.best;
+    if (best)
+        best->waitMaxMs = second ? waitAtLoss(*best, second->loss, request, options) : -1;
+    return best;
 }
 
 } // namespace cornelwell
--- a/src/dispatch/server_choice.h
+++ b/src/dispatch/server_choice.h
@@ -9,16 +9,21 @@
 
 namespace cornelwell {
 
-/** Weights of the choice, all in milliseconds of expected waiting. */
+/** Weights of the choice: what is lost of a call that is worth 1 in time. */
 struct ChoiceOptions
 {
-    double firstWorkMs = 150;       ///< Time of a request at a server that told none.
-    double busyShare = 0.35;        ///< How much a full server is worse than an idle one.
-    double failurePenalty = 6.0;    ///< Times the expected time, for a server that fails all.
-    double coldPenalty = 1.0;       ///< Times the expected time, for a server that is cold.
-    double otherCentreMs = 4;       ///< For a server in another data centre.
-    double otherCentreMsPerKb = 45; ///< For each kilobyte that crosses.
-    double jitter = 0.06;           ///< Spread that keeps daemons from choosing alike.
+    double firstWorkMs = 150;  ///< Time of a request at a server that told none.
+    double spread = 0.55;      ///< Spread of the time of requests, of its logarithm.
+    double lateLoss = 0.7;     ///< Lost when the goal is missed.
+    double deadLoss = 0.3;     ///< Lost besides when the deadline is missed.
+    double failLoss = 0.6;     ///< Lost when the server fails the call.
+    double lossPerMs = 0.0004; ///< Lost by each millisecond of expected time.
+    double busyShare = 0.35; ///< How much longer a call takes at a full server than at an idle one.
+    double coldFactor = 2.0; ///< How much longer it takes at a server that is cold.
+    double otherCentreLoss = 0.004;     ///< Lost when the call goes to another data centre.
+    double otherCentreLossPerKb = 0.02; ///< Lost by each kilobyte that crosses.
+    double doubtLoss = 0.5;             ///< Lost when the daemon beside the server is silent.
+    double jitter = 0.06;               ///< Spread that keeps daemons from choosing alike.
 };
 
 /** A server that may be chosen. */
@@ -26,8 +31,10 @@
 {
     ServerId name;        ///< Its daemon.
     std::string instance; ///< Its identity.
-    double cost = 0;      ///< Expected time and penalties, in milliseconds.
-    double waitMs = 0;    ///< Part of it that is spent waiting for a slot.
+    double loss = 0;      ///< Expected loss.
+    double workMs = 0;    ///< Expected time at the server.
+    double waitMs = 0;    ///< Expected time before that.
+    double fixedLoss = 0; ///< Part of the loss that does not depend on time.
     double waitMaxMs = 0; ///< With a longer wait the next best server is better; below 0: any wait.
 };
 
@@ -37,10 +44,13 @@
     ServiceName service;       ///< Service that is to run the call.
     std::set<ServerId> except; ///< Daemons that are not to be asked.
     double kilobytes = 0;      ///< Bytes that would cross between data centres.
+    double workMs = 0;         ///< Mean time of such calls over all servers; 0 when unknown.
+    double goalMs = 0;         ///< Time left until the goal.
+    double deadlineMs = 0;     ///< Time left until the deadline.
 };
 
 /**
- * Chooses the server with the least expected time.
+ * Chooses the server with the least expected loss.
  * @param table Beliefs about peers.
  * @param local Load of the server beside this daemon; it is believed as it is.
  * @param request What the choice is for.
@@ -53,14 +63,9 @@
                                       const ChoiceRequest &request, const ChoiceOptions &options,
                                       TimePoint now, Random &random);
 
-/** Expected time of one more request at a server. */
-struct Expectation
-{
-    double workMs = 0; ///< At the server, with penalties for what is known against it.
-    double waitMs = 0; ///< Before that.
-};
-
-/** @return what to expect of a server. @param pending Requests there. */
-Expectation expectationOf(const HostLoad &load, unsigned pending, const ChoiceOptions &options);
+/** @return expected loss by time of a call. @param workMs At the server. @param waitMs Before that.
+ */
+double lossByTime(double workMs, double waitMs, const ChoiceRequest &request,
+                  const ChoiceOptions &options);
 
 } // namespace cornelwell
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -83,6 +83,7 @@
     bool handed = false;                  ///< A server received it.
     HttpResponse response;                ///< The server's answer, when there is one.
     Duration retryAfter;                  ///< When room is expected.
+    Duration work;                        ///< Time at the server.
 };
 
 /** What becomes of a call now. */
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -145,6 +145,7 @@
                 static_cast<unsigned>(m.outcome.reason),
                 m.outcome.handed,
                 m.outcome.retryAfter.ms,
+                m.outcome.work.ms,
                 m.outcome.response.status,
                 toJson(m.outcome.response.headers),
                 binary(m.outcome.response.body),
@@ -196,10 +197,11 @@
                                                % static_cast<unsigned>(HostReason::Count));
     m.outcome.handed = list.at(4).get<bool>();
     m.outcome.retryAfter = {list.at(5).get<std::int64_t>()};
-    m.outcome.response.status = list.at(6).get<int>();
-    m.outcome.response.headers = headersOf(list.at(7));
-    m.outcome.response.body = textOf(list.at(8));
-    m.load = loadOf(list.at(9));
+    m.outcome.work = {list.at(6).get<std::int64_t>()};
+    m.outcome.response.status = list.at(7).get<int>();
+    m.outcome.response.headers = headersOf(list.at(8));
+    m.outcome.response.body = textOf(list.at(9));
+    m.load = loadOf(list.at(10));
     return m;
 }
 
--- a/src/node/host_desk.cpp
+++ b/src/node/host_desk.cpp
@@ -127,6 +127,7 @@
         return;
     const TimePoint now = m_loop.now();
     HostOutcome outcome = result.outcome;
+    outcome.work = result.work;
     const bool broken = outcome.reason == HostReason::Broken;
     if (broken)
         m_suspects.emplace_back(
