Feature: spread: peers are sent what differs between versions

Change: the store's document is read once; peers get an update of the version that they told (checked by a digest), whole when too far behind; a watcher waits 350 ms after a change, so that a series is taken in steps.

--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -41,21 +41,34 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/** Fields as one text: names and values end with a line feed, which neither may hold. */
 Json toJson(const HttpHeaders &headers)
 {
-    Json list = Json::array();
+    std::vector<std::uint8_t> bytes;
     for (const HttpHeader &field : headers.fields()) {
-        list.push_back(binary(field.name));
-        list.push_back(binary(field.value));
+        bytes.insert(bytes.end(), field.name.begin(), field.name.end());
+        bytes.push_back('\n');
+        bytes.insert(bytes.end(), field.value.begin(), field.value.end());
+        bytes.push_back('\n');
     }
-    return list;
+    return Json::binary(std::move(bytes));
 }
 
-HttpHeaders headersOf(const Json &list)
+HttpHeaders headersOf(const Json &value)
 {
     HttpHeaders headers;
-    for (std::size_t i = 0; i + 1 < list.size(); i += 2)
-        headers.add(textOf(list[i]), textOf(list[i + 1]));
+    const auto &bytes = value.get_binary();
+    const std::string_view text(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+    for (std::size_t at = 0; at < text.size();) {
+        const std::size_t nameEnd = text.find('\n', at);
+        const std::size_t valueEnd
+            = nameEnd == text.npos ? text.npos : text.find('\n', nameEnd + 1);
+        if (valueEnd == text.npos)
+            throw std::out_of_range("header fields are cut short");
+        headers.add(std::string(text.substr(at, nameEnd - at)),
+                    std::string(text.substr(nameEnd + 1, valueEnd - nameEnd - 1)));
+        at = valueEnd + 1;
+    }
     return headers;
 }
 
@@ -105,6 +118,80 @@
     return record;
 }
 
+Json toJson(const Route &route)
+{
+    Json parts = Json::array();
+    for (const RoutePart &part : route.parts) {
+        parts.push_back(part.service.text());
+        parts.push_back(part.weight);
+    }
+    return {route.name,       route.host,        route.prefix,
+            route.idempotent, route.timeout.ms,  route.goal.ms,
+            route.priority,   route.attemptsMax, parts};
+}
+
+Route routeOf(const Json &list)
+{
+    Route route;
+    route.name = list.at(0).get<std::string>();
+    route.host = list.at(1).get<std::string>();
+    route.prefix = list.at(2).get<std::string>();
+    route.idempotent = list.at(3).get<bool>();
+    route.timeout = {list.at(4).get<std::int64_t>()};
+    route.goal = {list.at(5).get<std::int64_t>()};
+    route.priority = list.at(6).get<unsigned>();
+    route.attemptsMax = list.at(7).get<unsigned>();
+    const Json &parts = list.at(8);
+    for (std::size_t i = 0; i + 1 < parts.size(); i += 2)
+        route.parts.push_back(
+            {ServiceName(parts[i].get<std::string>()), parts[i + 1].get<unsigned>()});
+    return route;
+}
+
+Json toJson(const RouteUpdate &update)
+{
+    Json routes = Json::array();
+    for (const Route &route : update.routes)
+        routes.push_back(toJson(route));
+    Json services = Json::array();
+    for (const RouteService &service : update.services) {
+        services.push_back(service.name.text());
+        services.push_back(service.connectionsMax);
+    }
+    const TrafficLimits &limits = update.limits;
+    return {Kind::Routes,
+            update.version,
+            update.base,
+            update.digest,
+            routes,
+            update.removed,
+            services,
+            limits.headerBytes,
+            limits.bodyBytes,
+            limits.headerTimeout.ms,
+            limits.idleTimeout.ms};
+}
+
+RouteUpdate updateOf(const Json &list)
+{
+    RouteUpdate update;
+    update.version = list.at(1).get<Revision>();
+    update.base = list.at(2).get<Revision>();
+    update.digest = list.at(3).get<std::uint64_t>();
+    for (const Json &route : list.at(4))
+        update.routes.push_back(routeOf(route));
+    update.removed = list.at(5).get<std::vector<std::string>>();
+    const Json &services = list.at(6);
+    for (std::size_t i = 0; i + 1 < services.size(); i += 2)
+        update.services.push_back(
+            {ServiceName(services[i].get<std::string>()), services[i + 1].get<unsigned>()});
+    update.limits.headerBytes = list.at(7).get<std::size_t>();
+    update.limits.bodyBytes = list.at(8).get<std::size_t>();
+    update.limits.headerTimeout = {list.at(9).get<std::int64_t>()};
+    update.limits.idleTimeout = {list.at(10).get<std::int64_t>()};
+    return update;
+}
+
 struct Encoder
 {
     Json operator()(const LinkHello &m) const
@@ -151,7 +238,7 @@
                 binary(m.outcome.response.body),
                 toJson(m.load)};
     }
-    Json operator()(const LinkRoutes &m) const { return {Kind::Routes, m.version, binary(m.text)}; }
+    Json operator()(const LinkRoutes &m) const { return toJson(m.update); }
     Json operator()(const LinkCrash &m) const
     {
         return {Kind::Crash,       m.report.fingerprint,  m.report.server.text(),
@@ -227,7 +314,7 @@
     case Kind::Result:
         return resultOf(list);
     case Kind::Routes:
-        return LinkRoutes{list.at(1).get<Revision>(), textOf(list.at(2))};
+        return LinkRoutes{updateOf(list)};
     case Kind::Crash:
         return LinkCrash{{list.at(1).get<std::uint64_t>(), ServerId(list.at(2).get<std::string>()),
                           list.at(3).get<std::uint64_t>(), EntryName(list.at(4).get<std::string>()),
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet_type.h"
 #include "hosting/hosting_type.h"
 #include "retry/quarantine_type.h"
+#include "routes/route_update.h"
 
 #include <string>
 #include <variant>
@@ -69,8 +70,7 @@
 /** A version of the routes. */
 struct LinkRoutes
 {
-    Revision version = 0; ///< Its number.
-    std::string text;     ///< The whole document.
+    RouteUpdate update; ///< What makes it of what the receiver has.
 };
 /** A request crashed a server. */
 struct LinkCrash
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -43,8 +43,6 @@
     /** @return the acknowledgement of a notice. */
     virtual HttpResponse acknowledgement() const = 0;
 
-    /** @return the document of routes, read. */
-    virtual Result<RouteDocument> routeDocument(const std::string &text) const = 0;
     /** @return the call that reads the newest document. */
     virtual HttpRequest readRoutes() const = 0;
     /** @return its answer, read. */
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Duration TICK{100};             ///< Pause between looks at what is due.
+constexpr Duration TICK{200};             ///< Pause between looks at what is due.
 constexpr Duration STORE_TIMEOUT{3000};   ///< Longest wait for an answer of the store.
 constexpr Duration WATCH_SLACK{1500};     ///< A watch is given up this long after its wait.
 constexpr Duration LEAVE_AFTER{2300};     ///< Callers have learnt by then that the daemon leaves.
@@ -50,13 +50,7 @@
     , m_dispatcher(
           m_peers, m_budget, [this] { return m_desk.load(); }, DispatchOptions(),
           seedOf(m_settings))
-    , m_spread(
-          m_peers,
-          [this](const std::string &text) -> Result<RouteTablePtr> {
-              BOOST_OUTCOME_TRY(document, m_adapter.routeDocument(text));
-              return RouteTable::build(std::move(document));
-          },
-          SpreadOptions(), seedOf(m_settings) + 1)
+    , m_spread(m_peers, SpreadOptions(), seedOf(m_settings) + 1)
     , m_directory(m_peers, DirectoryOptions(), seedOf(m_settings) + 2)
     , m_rotation(seedOf(m_settings))
     , m_links(loop, m_peers, *this, PeerLinkOptions())
@@ -258,7 +252,7 @@
 
 void ProxyNode::perform(const PushRoutes &action)
 {
-    m_links.sendRequest(action.peer, LinkRoutes{m_spread.version(), m_spread.text()});
+    m_links.sendRequest(action.peer, LinkRoutes{action.update});
 }
 
 void ProxyNode::perform(const RejectRoutes &action)
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -128,7 +128,7 @@
     const bool behind = state.version != peer->version;
     peer->version = state.version;
     if (behind)
-        perform(m_spread.tick(now));
+        perform(m_spread.peerTold(name, now));
 }
 
 void ProxyNode::takeResult(const ServerId &name, const LinkResult &result)
@@ -156,7 +156,7 @@
         if (const auto outcome = m_desk.ask(origin(ask->offer)))
             m_links.sendAnswer(peer.name, LinkResult{ask->offer, *outcome, m_desk.load()});
     } else if (const auto *routes = std::get_if<LinkRoutes>(&message)) {
-        perform(m_spread.received(peer.name, routes->version, routes->text, m_loop.now()));
+        perform(m_spread.received(peer.name, routes->update, m_loop.now()));
     } else if (const auto *crash = std::get_if<LinkCrash>(&message)) {
         takeCrash(crash->report);
     }
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -1,6 +1,8 @@
 /** @file route_table.cpp Checks of a version, and the search for the longest prefix. */
 #include "routes/route_table.h"
 
+#include "base/hash_func.h"
+
 #include <algorithm>
 #include <cctype>
 
@@ -18,7 +20,7 @@
     return lower;
 }
 
-std::string routeKey(std::string_view host, std::string_view prefix)
+std::string keyOf(std::string_view host, std::string_view prefix)
 {
     std::string key(host);
     key += ' ';
@@ -44,8 +46,37 @@
     return success();
 }
 
+std::uint64_t digestOf(const Route &route)
+{
+    std::string text = route.name + ' ' + keyOf(route.host, route.prefix);
+    const auto add = [&](std::int64_t number) { text += ' ' + std::to_string(number); };
+    add(route.idempotent ? 1 : 0);
+    add(route.timeout.ms);
+    add(route.goal.ms);
+    add(route.priority);
+    add(route.attemptsMax);
+    for (const RoutePart &part : route.parts) {
+        text += ' ' + part.service.text();
+        add(part.weight);
+    }
+    return hash64(text);
+}
+
 } // namespace
 
+std::string routeKey(const Route &route)
+{
+    return keyOf(route.host, route.prefix);
+}
+
+std::uint64_t RouteTable::digest() const
+{
+    std::uint64_t sum = m_document.version;
+    for (const Route &route : m_document.routes)
+        sum += digestOf(route);
+    return sum;
+}
+
 Result<RouteTablePtr> RouteTable::build(RouteDocument document)
 {
     if (document.version == 0)
@@ -66,7 +97,7 @@
                             "no service '" + part.service.text() + "'", where);
         }
         route.host = lowerCase(route.host);
-        if (!table->m_byKey.emplace(routeKey(route.host, route.prefix), &route).second)
+        if (!table->m_byKey.emplace(routeKey(route), &route).second)
             return fail(ResultCode::RouteInvalid, "two routes of one host and prefix", where);
     }
     return RouteTablePtr(std::move(table));
@@ -83,7 +114,7 @@
     const std::string_view path = target.substr(0, target.find('?'));
     const std::string name = lowerCase(host.substr(0, host.find(':')));
     for (std::size_t end = path.rfind('/'); end != std::string_view::npos;) {
-        const auto found = m_byKey.find(routeKey(name, path.substr(0, end + 1)));
+        const auto found = m_byKey.find(keyOf(name, path.substr(0, end + 1)));
         if (found != m_byKey.end())
             return found->second;
         if (end == 0)
--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -15,6 +15,9 @@
 /** A version as it is handed round; never changed once built. */
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
+/** @return what tells routes of one version apart: host and prefix. */
+std::string routeKey(const Route &route);
+
 /** Finds the route of a request. */
 class RouteTable
 {
@@ -30,6 +33,10 @@
     Revision version() const { return m_document.version; }
     /** @return limits of what callers may send. */
     const TrafficLimits &limits() const { return m_document.limits; }
+    /** @return all services. */
+    const std::vector<RouteService> &services() const { return m_document.services; }
+    /** @return hash of all routes, whatever their order. */
+    std::uint64_t digest() const;
     /** @return all routes. */
     const std::vector<Route> &routes() const { return m_document.routes; }
     /** @return the service, or null when this version does not name it. */
--- a/src/routes/route_type.h
+++ b/src/routes/route_type.h
@@ -16,6 +16,11 @@
 {
     ServiceName service; ///< The service.
     unsigned weight = 1; ///< Its share, relative to the other parts.
+
+    friend bool operator==(const RoutePart &a, const RoutePart &b)
+    {
+        return a.service == b.service && a.weight == b.weight;
+    }
 };
 
 /** How requests of one host and path prefix are carried. */
@@ -30,6 +35,13 @@
     unsigned priority = 0;        ///< Rank; 0 goes first.
     unsigned attemptsMax = 1;     ///< Servers that one request may be handed to.
     std::vector<RoutePart> parts; ///< Services that run it; at least one.
+
+    friend bool operator==(const Route &a, const Route &b)
+    {
+        return a.name == b.name && a.host == b.host && a.prefix == b.prefix
+               && a.idempotent == b.idempotent && a.timeout == b.timeout && a.goal == b.goal
+               && a.priority == b.priority && a.attemptsMax == b.attemptsMax && a.parts == b.parts;
+    }
 };
 
 /** A service that routes may name. */
--- a/src/spread/route_spread.cpp
+++ b/src/spread/route_spread.cpp
@@ -1,8 +1,6 @@
 /** @file route_spread.cpp Who watches the store, and who pushes to whom. */
 #include "spread/route_spread.h"
 
-#include "base/hash_func.h"
-
 #include <algorithm>
 
 namespace cornelwell {
@@ -10,13 +8,13 @@
 namespace {
 
 constexpr Duration NEVER_HEARD{1'000'000'000};
-constexpr Duration PUSH_AGAIN{1500}; ///< A peer that did not take a version is sent it again.
+constexpr std::size_t RECENT_MAX = 8; ///< Versions kept to make updates from.
+constexpr Duration PUSH_AGAIN{1500};  ///< A peer that did not take a version is sent it again.
 
 } // namespace
 
-RouteSpread::RouteSpread(const PeerTable &table, Parser parser, SpreadOptions options,
-                         std::uint64_t seed)
-    : m_peers(table), m_parser(std::move(parser)), m_options(options), m_random(seed)
+RouteSpread::RouteSpread(const PeerTable &table, SpreadOptions options, std::uint64_t seed)
+    : m_peers(table), m_options(options), m_random(seed)
 {}
 
 SpreadActions RouteSpread::start(TimePoint now)
@@ -60,12 +58,12 @@
         return actions;
     }
     storeAnswered(now, actions);
-    m_readNeeded = !answer.value().text;
+    m_readNeeded = !answer.value().document;
     if (m_readNeeded)
         m_nextCall = now + m_random.jitter(m_options.retryMax);
     m_storeRevision = answer.value().storeRevision;
-    if (answer.value().text)
-        take(*answer.value().text, "store", now, actions);
+    if (answer.value().document)
+        takeDocument(*answer.value().document, now, actions);
     return actions;
 }
 
@@ -81,49 +79,78 @@
     }
     storeAnswered(now, actions);
     m_storeRevision = std::max(m_storeRevision, answer.value().storeRevision);
-    if (answer.value().text)
-        take(*answer.value().text, "store", now, actions);
+    if (answer.value().document) {
+        m_nextCall = now + m_options.watchPause;
+        takeDocument(*answer.value().document, now, actions);
+    }
     SpreadActions more = tick(now);
     actions.insert(actions.end(), more.begin(), more.end());
     return actions;
 }
 
-SpreadActions RouteSpread::received(const ServerId &peer, Revision version, const std::string &text,
-                                    TimePoint now)
+SpreadActions RouteSpread::received(const ServerId &peer, const RouteUpdate &update, TimePoint now)
 {
     SpreadActions actions;
-    if (version > this->version())
-        take(text, peer.text(), now, actions);
+    if (update.version <= version())
+        return actions;
+    const Result<RouteTablePtr> table = applyRouteUpdate(m_table.get(), update);
+    if (table)
+        take(table.value(), peer.text(), now, actions);
+    else if (table.error().code != ResultCode::VersionGap)
+        actions.push_back(RejectRoutes{table.error(), peer.text()});
     return actions;
 }
 
-void RouteSpread::take(const std::string &text, const std::string &source, TimePoint now,
-                       SpreadActions &actions)
+void RouteSpread::takeDocument(const Result<RouteDocument> &document, TimePoint now,
+                               SpreadActions &actions)
 {
-    const std::uint64_t hash = hash64(text);
-    if (text == m_text || hash == m_rejectedHash)
-        return;
-    Result<RouteTablePtr> table = m_parser(text);
-    if (table && table.value()->version() <= version()) {
-        if (table.value()->version() < version() && source == "store") {
-            m_rejectedHash = hash;
-            actions.push_back(RejectRoutes{
-                {ResultCode::VersionOlder, "an older version than the one in force", {}}, source});
-        }
+    const std::string source = "store";
+    if (!document) {
+        actions.push_back(RejectRoutes{document.error(), source});
         return;
     }
+    const Result<RouteTablePtr> table = RouteTable::build(document.value());
     if (!table) {
-        m_rejectedHash = hash;
         actions.push_back(RejectRoutes{table.error(), source});
         return;
     }
-    m_table = table.value();
-    m_text = text;
+    if (table.value()->version() < version()) {
+        actions.push_back(RejectRoutes{
+            {ResultCode::VersionOlder, "an older version than the one in force", {}}, source});
+        return;
+    }
+    if (table.value()->version() > version())
+        take(table.value(), source, now, actions);
+}
+
+void RouteSpread::take(const RouteTablePtr &table, const std::string &source, TimePoint now,
+                       SpreadActions &actions)
+{
+    if (m_table)
+        m_recent.push_back(m_table);
+    if (m_recent.size() > RECENT_MAX)
+        m_recent.pop_front();
+    m_table = table;
     m_pushAt.clear();
     actions.push_back(ApplyRoutes{m_table, source});
     pushToBehind(now, actions);
 }
 
+SpreadActions RouteSpread::peerTold(const ServerId &peer, TimePoint now)
+{
+    m_pushAt.erase(peer);
+    return tick(now);
+}
+
+PushRoutes RouteSpread::pushTo(const ServerId &name, const Peer &peer) const
+{
+    const auto base
+        = std::find_if(m_recent.begin(), m_recent.end(), [&](const RouteTablePtr &table) {
+              return table->version() == peer.version;
+          });
+    return {name, routeUpdate(base == m_recent.end() ? nullptr : base->get(), *m_table)};
+}
+
 bool RouteSpread::shouldWatch(TimePoint now) const
 {
     if (now - m_started < m_options.settle)
@@ -185,7 +212,7 @@
         if (now < entry->second)
             continue;
         entry->second = now + PUSH_AGAIN;
-        actions.push_back(PushRoutes{name});
+        actions.push_back(pushTo(name, peer));
     }
 }
 
--- a/src/spread/route_spread.h
+++ b/src/spread/route_spread.h
@@ -6,7 +6,7 @@
 #include "fleet/peer_table.h"
 #include "spread/route_spread_type.h"
 
-#include <functional>
+#include <deque>
 #include <map>
 
 namespace cornelwell {
@@ -19,16 +19,12 @@
 class RouteSpread
 {
 public:
-    /** Reads and checks a document. */
-    using Parser = std::function<Result<RouteTablePtr>(const std::string &text)>;
-
     /**
      * @param table Beliefs about peers.
-     * @param parser Reads documents.
      * @param options Timeouts.
      * @param seed Of the jitter.
      */
-    RouteSpread(const PeerTable &table, Parser parser, SpreadOptions options, std::uint64_t seed);
+    RouteSpread(const PeerTable &table, SpreadOptions options, std::uint64_t seed);
 
     /** The daemon starts. */
     SpreadActions start(TimePoint now);
@@ -37,8 +33,9 @@
     /** The store answered a watch; PlatformHistoryGone makes it read anew. */
     SpreadActions watchAnswered(const Result<StoredRoutes> &answer, TimePoint now);
     /** A peer sent a version. */
-    SpreadActions received(const ServerId &peer, Revision version, const std::string &text,
-                           TimePoint now);
+    SpreadActions received(const ServerId &peer, const RouteUpdate &update, TimePoint now);
+    /** A peer told another version than before. */
+    SpreadActions peerTold(const ServerId &peer, TimePoint now);
     /** Time passes; to be called a few times in a second, and when a peer told its version. */
     SpreadActions tick(TimePoint now);
 
@@ -46,16 +43,16 @@
     const RouteTablePtr &inForce() const { return m_table; }
     /** @return number of the version in force; 0 before the first. */
     Revision version() const { return m_table ? m_table->version() : 0; }
-    /** @return the document in force. */
-    const std::string &text() const { return m_text; }
     /** @return how long ago the store answered; very long when never. */
     Duration storeAge(TimePoint now) const;
     /** @return true when this daemon watches the store. */
     bool watching() const { return m_watching; }
 
 private:
-    void take(const std::string &text, const std::string &source, TimePoint now,
+    void takeDocument(const Result<RouteDocument> &document, TimePoint now, SpreadActions &actions);
+    void take(const RouteTablePtr &table, const std::string &source, TimePoint now,
               SpreadActions &actions);
+    PushRoutes pushTo(const ServerId &name, const Peer &peer) const;
     void storeAnswered(TimePoint now, SpreadActions &actions);
     void storeFailed(const Error &error, TimePoint now, SpreadActions &actions);
     bool shouldWatch(TimePoint now) const;
@@ -63,13 +60,11 @@
     Duration pushDelay(const Peer &peer, TimePoint now);
 
     const PeerTable &m_peers;
-    Parser m_parser;
     const SpreadOptions m_options;
     Random m_random;
     RouteTablePtr m_table;
-    std::string m_text;
+    std::deque<RouteTablePtr> m_recent; ///< Versions before it, to tell peers only what differs.
     std::uint64_t m_storeRevision = 0;
-    std::uint64_t m_rejectedHash = 0;
     bool m_readNeeded = true;
     bool m_callOpen = false;
     bool m_watching = false;
--- a/src/spread/route_spread_type.h
+++ b/src/spread/route_spread_type.h
@@ -3,7 +3,7 @@
 
 #include "base/identifier_type.h"
 #include "base/result.h"
-#include "routes/route_table.h"
+#include "routes/route_update.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,7 +17,8 @@
 struct StoredRoutes
 {
     std::uint64_t storeRevision = 0; ///< Revision to watch from.
-    std::optional<std::string> text; ///< The document; nothing when there is none, or none newer.
+    /** The document, or why it cannot be used; nothing when there is none, or none newer. */
+    std::optional<Result<RouteDocument>> document;
 };
 
 /** Read the newest document from the store; the answer comes as readAnswered. */
@@ -38,7 +39,8 @@
 /** Send the version in force to a peer. */
 struct PushRoutes
 {
-    ServerId peer; ///< The peer.
+    ServerId peer;      ///< The peer.
+    RouteUpdate update; ///< What makes the version in force of what the peer has.
 };
 /** A document was refused; the last good one stays. */
 struct RejectRoutes
@@ -63,6 +65,7 @@
     unsigned watchers = 2; ///< Daemons that watch the store, at least one in each data centre.
     Duration watchWait = {4000}; ///< Longest wait of one watch.
     Duration freshFor = {5200};  ///< A watcher that heard the store within this counts as sound.
+    Duration watchPause = {350}; ///< From one change to the next watch: a series is taken in steps.
     Duration settle = {1000};    ///< A new daemon links to others before it watches.
     Duration retryMin = {100};   ///< First pause after a failed call.
     Duration retryMax = {1500};  ///< Longest pause.
