--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,5 +1,7 @@
 /** @file main.cpp Stand-ins of the systems served: `platform` and `backend`. Never installed. */
+#include "app_standin.h"
 #include "backend_standin.h"
+#include "object_store_standin.h"
 #include "platform_standin.h"
 
 #include "base/endpoint_func.h"
@@ -114,6 +116,79 @@
     });
 }
 
+/** The loop takes signals itself. */
+int runOnLoop(int (*standin)(int, char **), int argc, char **argv)
+{
+    sigset_t none;
+    sigemptyset(&none);
+    pthread_sigmask(SIG_SETMASK, &none, nullptr);
+    return standin(argc - 1, argv + 1);
+}
+
+/** Runs a loop that ends by itself after some time. */
+void runLoop(EventLoop &loop)
+{
+    loop.after(seconds(WAIT_SECONDS_MAX), [&loop] { loop.stop(); });
+    loop.run();
+}
+
+int runObjects(int argc, char **argv)
+{
+    cxxopts::Options options("cornelwell-standin objects", "Stand-in of the users' object store");
+    options.add_options()("listen", "Address",
+                          cxxopts::value<std::string>()->default_value("127.0.0.1:7000"));
+    const auto parsed = options.parse(argc, argv);
+    const auto endpoint = parseEndpoint(parsed["listen"].as<std::string>());
+    EventLoop loop;
+    ObjectStoreStandin store(loop);
+    LoopService service(loop, [&](const HttpRequest &request, const LoopService::Reply &reply) {
+        store.handle(request, reply);
+    });
+    if (!endpoint || !service.listen(endpoint.value())) {
+        std::cerr << "the address cannot be used\n";
+        return EXIT_FAILURE;
+    }
+    loop.onSignal(SIGTERM, [&loop] { loop.stop(); });
+    runLoop(loop);
+    return EXIT_SUCCESS;
+}
+
+int runApp(int argc, char **argv)
+{
+    cxxopts::Options options("cornelwell-standin app", "Stand-in of a server of the users");
+    options.add_options()("listen", "Address", cxxopts::value<std::string>())(
+        "reports", "Where its daemon takes reports",
+        cxxopts::value<std::string>())("id", "Identity", cxxopts::value<std::string>())(
+        "service", "Service", cxxopts::value<std::string>())("zone", "Data centre",
+                                                             cxxopts::value<std::string>())(
+        "slots", "Requests at once", cxxopts::value<unsigned>()->default_value("4"))(
+        "work-ms", "Time of a request", cxxopts::value<std::int64_t>()->default_value("20"));
+    const auto parsed = options.parse(argc, argv);
+    const auto listen = parseEndpoint(parsed["listen"].as<std::string>());
+    const auto reports = parseEndpoint(parsed["reports"].as<std::string>());
+    if (!listen || !reports) {
+        std::cerr << "an address cannot be used\n";
+        return EXIT_FAILURE;
+    }
+    AppStandinOptions app;
+    app.id = parsed["id"].as<std::string>();
+    app.service = parsed["service"].as<std::string>();
+    app.zone = parsed["zone"].as<std::string>();
+    app.listen = listen.value();
+    app.reports = reports.value();
+    app.slots = parsed["slots"].as<unsigned>();
+    app.work = {parsed["work-ms"].as<std::int64_t>()};
+    EventLoop loop;
+    AppStandin standin(loop, app);
+    if (!standin.start()) {
+        std::cerr << "the address cannot be listened on\n";
+        return EXIT_FAILURE;
+    }
+    loop.onSignal(SIGTERM, [&standin] { standin.leave(); });
+    runLoop(loop);
+    return EXIT_SUCCESS;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -125,10 +200,14 @@
             return runPlatform(argc - 1, argv + 1);
         if (kind == "backend")
             return runBackend(argc - 1, argv + 1);
+        if (kind == "objects")
+            return runOnLoop(runObjects, argc, argv);
+        if (kind == "app")
+            return runOnLoop(runApp, argc, argv);
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << error.what() << "\n";
         return EXIT_FAILURE;
     }
-    std::cerr << "cornelwell-standin platform|backend [--help]\n";
+    std::cerr << "cornelwell-standin platform|backend|objects|app [--help]\n";
     return EXIT_FAILURE;
 }
