Feature: hosting: running calls' ages count in the expected wait

Change: the mean is at least what the ages of four or more running calls say; the first guess is 200 ms.

--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -14,6 +14,8 @@
 constexpr double SHARE_MAX = 0.0;        ///< However much goes before a rank, it is not hopeless.
 constexpr double WORK_MARGIN = 1.0;      ///< Times the usual work, for a call that is admitted.
 constexpr std::size_t LOOK_AHEAD = 32;   ///< Waiting calls of a rank that are compared.
+constexpr double AGE_FACTOR = 1.2;       ///< Mean time over mean age of running calls, about.
+constexpr std::size_t AGES_MIN = 4;      ///< Fewer running calls tell nothing.
 constexpr double LEAST_OF_WORK = 0.4;    ///< With less of the usual time left a call is not begun.
 constexpr std::size_t ROUTES_MAX = 1024; ///< Routes whose time is remembered.
 constexpr std::size_t GONE_MAX = 64;     ///< Servers that left, remembered.
@@ -125,7 +127,18 @@
     return m_meanMs > 0 ? m_meanMs : m_options.firstWorkMs;
 }
 
-Duration HostGate::waitFor(unsigned rank) const
+/** @return mean time of a request now: calls that run for long are seen before they end. */
+double HostGate::meanMs(TimePoint now) const
+{
+    const double known = m_meanMs > 0 ? m_meanMs : m_options.firstWorkMs;
+    if (m_running.size() < AGES_MIN)
+        return known;
+    const auto count = static_cast<double>(m_running.size());
+    const double age = static_cast<double>(now.ms) - static_cast<double>(m_startedSum) / count;
+    return std::max(known, age * AGE_FACTOR);
+}
+
+Duration HostGate::waitFor(unsigned rank, TimePoint now) const
 {
     const auto behind = m_queue.lower_bound(QueueKey{rank + 1, 0});
     const auto ahead = static_cast<std::size_t>(std::distance(m_queue.begin(), behind));
@@ -138,8 +151,7 @@
         if (other < rank)
             better += share;
     }
-    const double mean = m_meanMs > 0 ? m_meanMs : m_options.firstWorkMs;
-    const double wait = static_cast<double>(busy - m_server.slots) * mean / m_server.slots;
+    const double wait = static_cast<double>(busy - m_server.slots) * meanMs(now) / m_server.slots;
     return {static_cast<std::int64_t>(wait / (1 - std::min(SHARE_MAX, better)))};
 }
 
@@ -157,7 +169,7 @@
     const Duration least{static_cast<std::int64_t>(work * LEAST_OF_WORK)};
     if (now + least > call.deadline)
         return HostReason::TooLate;
-    const Duration wait = waitFor(call.rank);
+    const Duration wait = waitFor(call.rank, now);
     if (wait.ms == 0)
         return HostReason::None;
     if (call.waitMax.ms >= 0 && wait > call.waitMax)
@@ -177,7 +189,7 @@
 {
     const HostReason reason = refusal(call, now);
     if (reason != HostReason::None)
-        return {refuse(call.id, reason, waitFor(call.rank))};
+        return {refuse(call.id, reason, waitFor(call.rank, now))};
     m_queue.emplace(QueueKey{call.rank, call.id}, call);
     return startWaiting(now);
 }
@@ -218,6 +230,8 @@
         }
         noteStart(call.rank);
         decisions.push_back({call.id, HostVerdict::Start, HostReason::None, {0}});
+        call.started = now;
+        m_startedSum += now.ms;
         m_running.emplace(call.id, std::move(call));
     }
     return decisions;
@@ -236,6 +250,7 @@
     }
     if (how != HostFinish::Cancelled)
         m_failShare += FAIL_SMOOTHING * ((how == HostFinish::Served ? 0.0 : 1.0) - m_failShare);
+    m_startedSum -= found->second.started.ms;
     m_running.erase(found);
     return startWaiting(now);
 }
@@ -282,7 +297,7 @@
     load.slots = m_server.slots;
     load.running = static_cast<unsigned>(m_running.size());
     load.queued = static_cast<unsigned>(m_queue.size());
-    load.workMs = m_meanMs;
+    load.workMs = m_meanMs > 0 || m_running.size() >= AGES_MIN ? meanMs(now) : 0;
     load.failShare = m_failShare;
     load.cold = now < m_coldUntil;
     return load;
--- a/src/hosting/host_gate.h
+++ b/src/hosting/host_gate.h
@@ -13,7 +13,7 @@
 struct HostOptions
 {
     std::size_t queueMax = 256;    ///< Calls that wait.
-    double firstWorkMs = 150;      ///< Time of a request until one was measured.
+    double firstWorkMs = 200;      ///< Time of a request until one was measured.
     Duration retryAfterMin = {60}; ///< Shortest advice.
     Duration lateWait = {150};     ///< Longest wait of a call that came back after its goal.
 };
@@ -65,7 +65,8 @@
     HostDecisions refuseAll(HostReason reason);
     HostDecisions startWaiting(TimePoint now);
     double workMs(const std::string &route) const;
-    Duration waitFor(unsigned rank) const;
+    Duration waitFor(unsigned rank, TimePoint now) const;
+    double meanMs(TimePoint now) const;
     std::map<QueueKey, HostCall>::iterator nextWaiting(TimePoint now);
     void noteStart(unsigned rank);
     HostReason refusal(HostCall &call, TimePoint now) const;
@@ -79,6 +80,7 @@
     std::map<std::string, std::int64_t> m_gone; ///< Servers that left, with their start.
     std::map<QueueKey, HostCall> m_queue;
     std::unordered_map<HostCallId, HostCall> m_running;
+    std::int64_t m_startedSum = 0; ///< Sum of the times at which running calls were started.
     std::unordered_map<std::string, double> m_workMs; ///< Mean time by route.
     std::map<unsigned, double> m_rankShare;           ///< Share of recent starts by rank.
     double m_meanMs = 0;
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -72,6 +72,7 @@
     TimePoint goal;         ///< An answer by then is worth most.
     std::string instance;   ///< Server that the sender means; empty for any.
     bool returning = false; ///< It was refused before and has come back.
+    TimePoint started{0};   ///< When it was handed to the server.
     Duration waitMax{-1};   ///< With a longer wait another server is better; below 0: any wait.
 };
 
--- a/src/loop/event_loop.cpp
+++ b/src/loop/event_loop.cpp
@@ -40,7 +40,7 @@
         waitForSignal(*m_signals.back(), std::move(callback));
     }
 
-    boost::asio::io_context m_context{1};
+    boost::asio::io_context m_context{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
 
 private:
     using Key = std::pair<std::int64_t, TimerId>;
