Feature: dispatch: a second, faster server is asked when the first takes unusually long

Change: idempotent calls after 2.2 times the usual time or 0.3 of what they have: another server with free room, told to be faster by a fifth, or any when the first daemon is silent, within the budget; what lost the race runs to its end.

--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -45,8 +45,9 @@
 /** Tell the hosting daemon that an offer is given up. */
 struct CancelOffer
 {
-    OfferId offer = 0; ///< The offer.
-    ServerId daemon;   ///< Where it was sent.
+    OfferId offer = 0;        ///< The offer.
+    ServerId daemon;          ///< Where it was sent.
+    bool onlyWaiting = false; ///< When the server has begun it, it runs to its end.
 };
 /** Ask the hosting daemon how an offer ended whose link broke. */
 struct AskOutcome
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,6 +35,7 @@
     HostOutcome outcome;
     outcome.state = RunState::Unknown;
     outcome.reason = HostReason::LinkLost;
+    outcome.handed = true;
     return outcome;
 }
 
@@ -65,12 +66,8 @@
     return actions;
 }
 
-void Dispatcher::place(FlightId id, Flight &flight, TimePoint now, DispatchActions &actions)
+ChoiceRequest Dispatcher::choiceFor(const Flight &flight, TimePoint now) const
 {
-    if (flight.plan.deadline - now < Duration{LEAST_TIME_MS}) {
-        refuse(id, flight, now, actions);
-        return;
-    }
     ChoiceRequest request;
     request.service = flight.plan.service;
     request.except = flight.refused;
@@ -82,38 +79,108 @@
         request.kilobytes += usual->second.kilobytes;
         request.workMs = usual->second.workMs;
     }
-    const auto chosen
-        = flight.offers < m_options.offersMax
-              ? chooseServer(m_table, m_localLoad(), request, m_options.choice, now, m_random)
-              : std::nullopt;
+    return request;
+}
+
+void Dispatcher::place(FlightId id, Flight &flight, TimePoint now, DispatchActions &actions)
+{
+    const bool possible = flight.plan.deadline - now >= Duration{LEAST_TIME_MS}
+                          && flight.offers < m_options.offersMax;
+    const auto chosen = possible ? chooseServer(m_table, m_localLoad(), choiceFor(flight, now),
+                                                m_options.choice, now, m_random)
+                                 : std::nullopt;
     if (!chosen) {
         refuse(id, flight, now, actions);
         return;
     }
-    flight.offer = ++m_lastOffer;
-    flight.daemon = chosen->name;
-    flight.lost = false;
     flight.offers++;
     // The last offer takes any wait: by then the beliefs are fresh.
-    flight.anyWait = chosen->waitMaxMs < 0 || flight.offers >= m_options.offersMax;
-    const Duration waitMax{flight.anyWait ? -1 : static_cast<std::int64_t>(chosen->waitMaxMs)};
-    m_offers[flight.offer] = id;
-    if (Peer *peer = m_table.find(chosen->name))
+    const bool anyWait = chosen->waitMaxMs < 0 || flight.offers >= m_options.offersMax;
+    send(id, flight, *chosen, {anyWait ? -1 : static_cast<std::int64_t>(chosen->waitMaxMs)},
+         actions);
+}
+
+void Dispatcher::send(FlightId id, Flight &flight, const Candidate &chosen, Duration waitMax,
+                      DispatchActions &actions)
+{
+    const OfferId offer = ++m_lastOffer;
+    flight.open.push_back({offer, chosen.name, false, !flight.open.empty()});
+    m_offers[offer] = id;
+    if (Peer *peer = m_table.find(chosen.name))
         peer->sent++;
     actions.push_back(
-        SendOffer{id, flight.offer, chosen->name, chosen->instance, rankOf(flight.plan), waitMax});
+        SendOffer{id, offer, chosen.name, chosen.instance, rankOf(flight.plan), waitMax});
 }
 
-void Dispatcher::closeOffer(Flight &flight)
+Duration Dispatcher::hedgeDelay(FlightId id, TimePoint now) const
 {
-    if (flight.offer == 0)
-        return;
-    m_offers.erase(flight.offer);
-    Peer *peer = m_table.find(flight.daemon);
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end() || !found->second.plan.route->idempotent
+        || found->second.plan.route->attemptsMax < 2)
+        return {0};
+    const FlightPlan &plan = found->second.plan;
+    const auto usual = m_usual.find(plan.route->name);
+    const double work = usual == m_usual.end() ? 0 : usual->second.workMs;
+    const auto whole = static_cast<double>((plan.deadline - now).ms);
+    return {static_cast<std::int64_t>(
+        std::max(work * m_options.hedgeWork, whole * m_options.hedgeShare))};
+}
+
+DispatchActions Dispatcher::hedge(FlightId id, TimePoint now)
+{
+    DispatchActions actions;
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end() || found->second.open.size() != 1)
+        return actions;
+    Flight &flight = found->second;
+    if (flight.handed + 1 >= flight.plan.route->attemptsMax)
+        return actions;
+    ChoiceRequest request = choiceFor(flight, now);
+    const ServerId &first = flight.open.front().daemon;
+    request.except.insert(first);
+    const auto chosen
+        = chooseServer(m_table, m_localLoad(), request, m_options.choice, now, m_random);
+    if (!chosen || chosen->waitMs > 0)
+        return actions;
+    const Peer *peer = m_table.find(first);
+    const bool silent = peer != nullptr && !m_table.isSound(*peer, now);
+    const double firstMs = peer != nullptr ? peer->load.workMs : m_localLoad().workMs;
+    const Peer *other = m_table.find(chosen->name);
+    const double otherMs = other != nullptr ? other->load.workMs : m_localLoad().workMs;
+    if (!silent && (otherMs <= 0 || otherMs > firstMs * m_options.hedgeGain))
+        return actions;
+    if (m_budget.take(flight.plan.service, now))
+        send(id, flight, *chosen, {0}, actions);
+    return actions;
+}
+
+Dispatcher::OpenOffer Dispatcher::closeOffer(Flight &flight, OfferId offer)
+{
+    m_offers.erase(offer);
+    const auto found = std::find_if(flight.open.begin(), flight.open.end(),
+                                    [&](const OpenOffer &one) { return one.id == offer; });
+    if (found == flight.open.end())
+        return {};
+    const OpenOffer closed = *found;
+    flight.open.erase(found);
+    Peer *peer = m_table.find(closed.daemon);
     if (peer != nullptr && peer->sent > 0)
         peer->sent--;
-    flight.offer = 0;
-    flight.lost = false;
+    return closed;
+}
+
+/** Ends a flight; a second server that has begun it is left to end by itself. */
+void Dispatcher::erase(FlightId id, DispatchActions &actions)
+{
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end())
+        return;
+    while (!found->second.open.empty()) {
+        const OpenOffer left = closeOffer(found->second, found->second.open.front().id);
+        if (!left.lost)
+            actions.push_back(CancelOffer{left.id, left.daemon, true});
+    }
+    m_flights.erase(found);
 }
 
 void Dispatcher::learn(const Flight &flight, const HostOutcome &outcome)
@@ -136,33 +203,31 @@
         return actions;
     const FlightId id = known->second;
     Flight &flight = m_flights[id];
-    const ServerId daemon = flight.daemon;
-    closeOffer(flight);
+    const OpenOffer closed = closeOffer(flight, offer);
+    if (closed.hedge && !outcome.handed)
+        m_budget.giveBack(flight.plan.service);
     flight.reason = outcome.reason;
     if (outcome.handed)
         flight.handed++;
-    switch (outcome.state) {
-    case RunState::Answered:
-        if (outcome.response.status >= SERVER_ERROR) {
-            flight.refused.insert(daemon);
-            failed(id, flight, outcome, now, actions);
-            break;
-        }
+    if (outcome.state == RunState::Answered && outcome.response.status < SERVER_ERROR) {
         learn(flight, outcome);
         actions.push_back(PassAnswer{id, outcome.response});
-        m_flights.erase(id);
-        break;
-    case RunState::NotRun:
-        if (outcome.reason != HostReason::Busier)
-            flight.refused.insert(daemon);
+        erase(id, actions);
+        return actions;
+    }
+    if (outcome.reason != HostReason::Busier)
+        flight.refused.insert(closed.daemon);
+    if (!flight.open.empty()) {
+        // The other server may still answer.
+        flight.unknown = flight.unknown || outcome.state != RunState::NotRun;
+        if (outcome.state == RunState::Answered)
+            flight.failure = outcome.response;
+        return actions;
+    }
+    if (outcome.state == RunState::NotRun)
         notRun(id, flight, outcome, now, actions);
-        break;
-    case RunState::Unknown:
-    case RunState::Count:
-        flight.refused.insert(daemon);
+    else
         failed(id, flight, outcome, now, actions);
-        break;
-    }
     return actions;
 }
 
@@ -207,12 +272,12 @@
     }
     if (answered) {
         actions.push_back(PassAnswer{id, outcome.response});
-        m_flights.erase(id);
+        erase(id, actions);
         return;
     }
     if (flight.failure) {
         actions.push_back(PassAnswer{id, *flight.failure});
-        m_flights.erase(id);
+        erase(id, actions);
         return;
     }
     answerOwn(id, BAD_GATEWAY, outcome.reason, {0}, actions);
@@ -226,7 +291,7 @@
         advice = {std::min(advice.ms, left.ms / 3)};
     if (flight.failure) {
         actions.push_back(PassAnswer{id, *flight.failure});
-        m_flights.erase(id);
+        erase(id, actions);
         return;
     }
     if (flight.unknown) {
@@ -243,38 +308,43 @@
                            DispatchActions &actions)
 {
     actions.push_back(OwnAnswer{id, status, reason, retryAfter});
-    m_flights.erase(id);
+    erase(id, actions);
 }
 
 void Dispatcher::cancelOpen(Flight &flight, DispatchActions &actions)
 {
-    if (flight.offer == 0)
-        return;
-    if (!flight.lost)
-        actions.push_back(CancelOffer{flight.offer, flight.daemon});
-    closeOffer(flight);
+    while (!flight.open.empty()) {
+        const OpenOffer closed = closeOffer(flight, flight.open.front().id);
+        if (!closed.lost)
+            actions.push_back(CancelOffer{closed.id, closed.daemon, false});
+    }
 }
 
-DispatchActions Dispatcher::linkLost(const ServerId &daemon, TimePoint now)
+std::vector<std::pair<FlightId, OfferId>> Dispatcher::offersAt(const ServerId &daemon,
+                                                               bool lost) const
 {
-    DispatchActions actions;
-    std::vector<FlightId> hit;
+    std::vector<std::pair<FlightId, OfferId>> found;
     for (const auto &[id, flight] : m_flights) {
-        if (flight.offer != 0 && flight.daemon == daemon && !flight.lost)
-            hit.push_back(id);
+        for (const OpenOffer &offer : flight.open) {
+            if (offer.daemon == daemon && offer.lost == lost)
+                found.emplace_back(id, offer.id);
+        }
     }
-    std::sort(hit.begin(), hit.end());
-    for (const FlightId id : hit) {
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+DispatchActions Dispatcher::linkLost(const ServerId &daemon, TimePoint now)
+{
+    DispatchActions actions;
+    for (const auto &[id, offer] : offersAt(daemon, false)) {
         Flight &flight = m_flights[id];
         if (!flight.plan.route->idempotent) {
-            flight.lost = true;
+            flight.open.front().lost = true;
             continue;
         }
-        closeOffer(flight);
-        flight.refused.insert(daemon);
-        flight.handed++;
-        flight.reason = HostReason::LinkLost;
-        failed(id, flight, lostOutcome(), now, actions);
+        DispatchActions more = ended(offer, lostOutcome(), now);
+        actions.insert(actions.end(), more.begin(), more.end());
     }
     return actions;
 }
@@ -282,22 +352,14 @@
 DispatchActions Dispatcher::linkOpened(const ServerId &daemon, bool restarted, TimePoint now)
 {
     DispatchActions actions;
-    std::vector<FlightId> hit;
-    for (const auto &[id, flight] : m_flights) {
-        if (flight.offer != 0 && flight.daemon == daemon && flight.lost)
-            hit.push_back(id);
-    }
-    std::sort(hit.begin(), hit.end());
-    for (const FlightId id : hit) {
-        Flight &flight = m_flights[id];
+    for (const auto &[id, offer] : offersAt(daemon, true)) {
         if (!restarted) {
-            flight.lost = false;
-            actions.push_back(AskOutcome{flight.offer, daemon});
+            m_flights[id].open.front().lost = false;
+            actions.push_back(AskOutcome{offer, daemon});
             continue;
         }
-        closeOffer(flight);
-        flight.handed++;
-        failed(id, flight, lostOutcome(), now, actions);
+        DispatchActions more = ended(offer, lostOutcome(), now);
+        actions.insert(actions.end(), more.begin(), more.end());
     }
     return actions;
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -14,6 +14,9 @@
 struct DispatchOptions
 {
     unsigned offersMax = 4;      ///< Daemons asked for one handing over.
+    double hedgeWork = 2.2;      ///< A second server is asked after this many times the usual time,
+    double hedgeShare = 0.3;     ///< and after this share of the time that the call has.
+    double hedgeGain = 0.8;      ///< It has to be faster than the first by this factor.
     Duration retryAfter = {150}; ///< Advice when nothing better is known.
     ChoiceOptions choice;        ///< Weights of the choice.
 };
@@ -43,6 +46,10 @@
      * @param restarted The daemon has started anew meanwhile and knows nothing of its offers.
      */
     DispatchActions linkOpened(const ServerId &daemon, bool restarted, TimePoint now);
+    /** @return when a second server should be asked, from now; 0 for never. */
+    Duration hedgeDelay(FlightId flight, TimePoint now) const;
+    /** The first server takes unusually long: another one with free room is asked besides. */
+    DispatchActions hedge(FlightId flight, TimePoint now);
     /** The caller left. */
     DispatchActions callerLeft(FlightId flight, TimePoint now);
     /** The request's time is over. */
@@ -55,17 +62,23 @@
     std::size_t underWay() const { return m_flights.size(); }
 
 private:
+    /** An offer that has not ended. */
+    struct OpenOffer
+    {
+        OfferId id = 0;
+        ServerId daemon;    ///< Where it is.
+        bool lost = false;  ///< The link broke under it.
+        bool hedge = false; ///< Made besides another one.
+    };
     /** A request under way. */
     struct Flight
     {
         FlightPlan plan;
-        OfferId offer = 0;                    ///< The open offer; 0 between offers.
-        ServerId daemon;                      ///< Where it is.
-        bool lost = false;                    ///< The link broke under it.
-        unsigned handed = 0;                  ///< Servers that received it.
-        unsigned offers = 0;                  ///< Daemons asked since it was handed to a server.
-        bool unknown = false;                 ///< It may have been run by a server.
-        bool anyWait = false;                 ///< The open offer was made with any wait.
+        std::vector<OpenOffer> open; ///< One, or two when a second server was asked.
+        unsigned handed = 0;         ///< Servers that received it.
+        unsigned offers = 0;         ///< Daemons asked since it was handed to a server.
+        bool unknown = false;        ///< It may have been run by a server.
+
         std::set<ServerId> refused;           ///< Daemons that had no room.
         Duration retryAfter{0};               ///< Shortest advice heard.
         HostReason reason = HostReason::None; ///< Why the last offer failed.
@@ -74,7 +87,12 @@
     using Flights = std::unordered_map<FlightId, Flight>;
 
     void place(FlightId id, Flight &flight, TimePoint now, DispatchActions &actions);
-    void closeOffer(Flight &flight);
+    ChoiceRequest choiceFor(const Flight &flight, TimePoint now) const;
+    void send(FlightId id, Flight &flight, const Candidate &chosen, Duration waitMax,
+              DispatchActions &actions);
+    OpenOffer closeOffer(Flight &flight, OfferId offer);
+    void erase(FlightId id, DispatchActions &actions);
+    std::vector<std::pair<FlightId, OfferId>> offersAt(const ServerId &daemon, bool lost) const;
     void notRun(FlightId id, Flight &flight, const HostOutcome &outcome, TimePoint now,
                 DispatchActions &actions);
     void failed(FlightId id, Flight &flight, const HostOutcome &outcome, TimePoint now,
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -222,7 +222,7 @@
                 m.fingerprint,
                 m.waitMax.ms};
     }
-    Json operator()(const LinkCancel &m) const { return {Kind::Cancel, m.offer}; }
+    Json operator()(const LinkCancel &m) const { return {Kind::Cancel, m.offer, m.onlyWaiting}; }
     Json operator()(const LinkAsk &m) const { return {Kind::Ask, m.offer}; }
     Json operator()(const LinkResult &m) const
     {
@@ -308,7 +308,7 @@
     case Kind::Call:
         return callOf(list);
     case Kind::Cancel:
-        return LinkCancel{list.at(1).get<OfferId>()};
+        return LinkCancel{list.at(1).get<OfferId>(), list.at(2).get<bool>()};
     case Kind::Ask:
         return LinkAsk{list.at(1).get<OfferId>()};
     case Kind::Result:
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -53,7 +53,8 @@
 /** Gives up an offer. */
 struct LinkCancel
 {
-    OfferId offer = 0; ///< The offer.
+    OfferId offer = 0;        ///< The offer.
+    bool onlyWaiting = false; ///< When the server has begun it, it runs to its end.
 };
 /** Asks how an offer ended; sent on a new link for an offer of the one before. */
 struct LinkAsk
--- a/src/node/host_desk.cpp
+++ b/src/node/host_desk.cpp
@@ -202,13 +202,15 @@
         m_listener.callEnded(call.origin, outcome);
 }
 
-void HostDesk::cancel(const CallOrigin &origin)
+void HostDesk::cancel(const CallOrigin &origin, bool onlyWaiting)
 {
     const auto known = m_byOrigin.find(origin);
     if (known == m_byOrigin.end())
         return;
     const HostCallId id = known->second;
     Call &call = m_calls.at(id);
+    if (call.running && onlyWaiting)
+        return;
     call.cancelled = true;
     if (!call.running) {
         m_gate.withdraw(id);
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -57,6 +57,8 @@
         std::string route;
         TimePoint began{0};
         TimerId timer = 0;
+        TimerId hedgeTimer = 0;
+        unsigned hedgeTries = 0;
         unsigned offers = 0;
         ServerId lastDaemon;
     };
@@ -71,6 +73,7 @@
     void sessionEnded(CallerSession &session) override;
     void accept(TcpConnectionPtr connection);
     FlightPlan planOf(const CallerSession &session, const HttpRequest &request, const Route &route);
+    void armHedge(FlightId id);
     void answer(FlightId id, const HttpResponse &response);
     void answerOwn(const OwnAnswer &own);
     HttpResponse ownResponse(int status, ResultCode code, const std::string &requestId) const;
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -17,6 +17,8 @@
 constexpr double MS_PER_SECOND = 1000;
 constexpr Duration NO_ROUTES_RETRY{300}; ///< Advice while no version is known.
 constexpr Duration LEAVING_RETRY{20};    ///< Advice while the daemon leaves: others serve at once.
+constexpr Duration HEDGE_PAUSE{120};         ///< Until room for a second server is looked for again.
+constexpr unsigned HEDGE_TRIES = 4;          ///< Looks for room.
 constexpr Duration RETURN_WITHIN{3000};  ///< A refused request is known again for this long.
 
 /** @return milliseconds that the caller waits; the route's timeout when it does not say. */
@@ -143,6 +145,29 @@
         perform(m_dispatcher.timedOut(id, m_loop.now()));
     });
     perform(m_dispatcher.begin(id, std::move(plan), now));
+    armHedge(id);
+}
+
+/** A second server is asked when the first takes unusually long. */
+void ProxyNode::armHedge(FlightId id)
+{
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end())
+        return;
+    const bool first = found->second.hedgeTries++ == 0;
+    const Duration delay = first ? m_dispatcher.hedgeDelay(id, m_loop.now()) : HEDGE_PAUSE;
+    if (delay.ms <= 0)
+        return;
+    found->second.hedgeTimer = m_loop.after(delay, [this, id] {
+        const auto flight = m_flights.find(id);
+        if (flight == m_flights.end())
+            return;
+        flight->second.hedgeTimer = 0;
+        const DispatchActions actions = m_dispatcher.hedge(id, m_loop.now());
+        if (actions.empty() && flight->second.hedgeTries < HEDGE_TRIES)
+            armHedge(id);
+        perform(actions);
+    });
 }
 
 void ProxyNode::callerLeft(FlightId id)
@@ -156,6 +181,7 @@
         fields.add("after_ms", (m_loop.now() - found->second.began).ms);
     });
     m_loop.cancel(found->second.timer);
+    m_loop.cancel(found->second.hedgeTimer);
     m_flights.erase(found);
     perform(m_dispatcher.callerLeft(id, m_loop.now()));
 }
@@ -215,9 +241,10 @@
 void ProxyNode::perform(const CancelOffer &action)
 {
     if (action.daemon == m_settings.self.name)
-        m_desk.cancel({action.daemon, m_settings.self.incarnation, action.offer});
+        m_desk.cancel({action.daemon, m_settings.self.incarnation, action.offer},
+                      action.onlyWaiting);
     else
-        m_links.sendRequest(action.daemon, LinkCancel{action.offer});
+        m_links.sendRequest(action.daemon, LinkCancel{action.offer, action.onlyWaiting});
 }
 
 void ProxyNode::perform(const AskOutcome &action)
@@ -283,10 +310,10 @@
     const auto found = m_flights.find(id);
     if (found == m_flights.end())
         return;
+    m_loop.cancel(found->second.timer);
+    m_loop.cancel(found->second.hedgeTimer);
     const Flight flight = std::move(found->second);
     m_flights.erase(found);
-    TimerId timer = flight.timer;
-    m_loop.cancel(timer);
     const std::int64_t took = (m_loop.now() - flight.began).ms;
     m_metrics.count("calls_total", "status=\"" + std::to_string(response.status) + "\"");
     m_metrics.sample("call_ms", "", static_cast<double>(took));
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -151,7 +151,7 @@
         const OfferId offer = call->offer;
         m_desk.offer(origin(offer), std::move(*call));
     } else if (const auto *cancel = std::get_if<LinkCancel>(&message)) {
-        m_desk.cancel(origin(cancel->offer));
+        m_desk.cancel(origin(cancel->offer), cancel->onlyWaiting);
     } else if (const auto *ask = std::get_if<LinkAsk>(&message)) {
         if (const auto outcome = m_desk.ask(origin(ask->offer)))
             m_links.sendAnswer(peer.name, LinkResult{ask->offer, *outcome, m_desk.load()});
--- a/src/retry/service_budget.cpp
+++ b/src/retry/service_budget.cpp
@@ -34,4 +34,9 @@
     return true;
 }
 
+void ServiceBudget::giveBack(const ServiceName &service)
+{
+    m_buckets[service].tokens += 1;
+}
+
 } // namespace cornelwell
--- a/src/retry/service_budget.h
+++ b/src/retry/service_budget.h
@@ -29,6 +29,8 @@
     void requestBegan(const ServiceName &service, TimePoint now);
     /** Asks for a repeat. @return true when one may be made; it is used up then. */
     bool take(const ServiceName &service, TimePoint now);
+    /** Gives a repeat back that did not reach a server. */
+    void giveBack(const ServiceName &service);
 
 private:
     /** Tokens of one service. */
