--- a/src/dispatch/server_choice.h
+++ b/src/dispatch/server_choice.h
@@ -21,7 +21,7 @@
     double busyShare = 0.35; ///< How much longer a call takes at a full server than at an idle one.
     double coldFactor = 2.0; ///< How much longer it takes at a server that is cold.
     double otherCentreLoss = 0.004;     ///< Lost when the call goes to another data centre.
-    double otherCentreLossPerKb = 0.02; ///< Lost by each kilobyte that crosses.
+    double otherCentreLossPerKb = 0.07; ///< Lost by each kilobyte that crosses.
     double doubtLoss = 0.5;             ///< Lost when the daemon beside the server is silent.
     double jitter = 0.06;               ///< Spread that keeps daemons from choosing alike.
 };
