--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -34,7 +34,10 @@
 
 bool PeerTable::isSound(const Peer &peer, TimePoint now) const
 {
-    return peer.linked && now - peer.heardAt <= m_options.doubtAfter;
+    // Daemons of other data centres tell their state more rarely.
+    const bool near = peer.record.dataCentre == m_self.dataCentre;
+    return peer.linked
+           && now - peer.heardAt <= (near ? m_options.doubtAfter : m_options.doubtAfter * 2);
 }
 
 std::size_t PeerTable::soundCount(TimePoint now) const
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -41,7 +41,7 @@
 struct PeerLinkOptions
 {
     Duration heartbeat = {400};    ///< Pause between states told inside the data centre.
-    Duration farHeartbeat = {800}; ///< The same to other data centres, where bytes cost.
+    Duration farHeartbeat = {1200}; ///< The same to other data centres, where bytes cost.
     Duration silence
         = {1700}; ///< A link silent for this long is closed; twice that to other data centres.
     Duration connect = {800};     ///< Longest wait for a link to open.
