Fix: hosting: a late report brought back a server that had left; tests of the new slices

Ruled out: the old process (stopped 0.5 s before), a new server under the same id (same start). Change: a leave without a start refuses every report of that id for 20 s; daemons tell a restarted one which server of its VM was last heard to leave.

--- /dev/null
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -0,0 +1,271 @@
+/** @file dispatch_test.cpp Choice of servers, repeats and final answers of one request. */
+#include "dispatch/dispatcher.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelwell;
+
+namespace {
+
+constexpr TimePoint NOW{100000};
+
+DaemonRecord record(const std::string &name, const std::string &centre)
+{
+    return {ServerId(name), DataCentreId(centre), {"127.0.0.1", 1}, ServiceName("desk"), 1};
+}
+
+/** A daemon `me` in `east` without a server, and peers with servers. */
+struct Fixture
+{
+    PeerTable table{record("me", "east"), PeerOptions()};
+    ServiceBudget budget{{0.1, 40, seconds(10)}};
+    Dispatcher dispatcher{table, budget, [] { return HostLoad(); }, DispatchOptions(), 1};
+    FlightId last = 0;
+
+    void peer(const std::string &name, const std::string &centre = "east", unsigned running = 0,
+              double workMs = 100)
+    {
+        table.learn(record(name, centre), true);
+        Peer &one = *table.find(ServerId(name));
+        one.linked = true;
+        one.heardAt = NOW;
+        one.load.instance = "i-" + name;
+        one.load.service = ServiceName("desk");
+        one.load.state = HostState::Ready;
+        one.load.slots = 4;
+        one.load.running = running;
+        one.load.workMs = workMs;
+    }
+
+    DispatchActions begin(bool idempotent = true, unsigned attempts = 2)
+    {
+        auto route = std::make_shared<Route>();
+        route->name = "r";
+        route->idempotent = idempotent;
+        route->attemptsMax = attempts;
+        route->timeout = {1000};
+        FlightPlan plan;
+        plan.route = route;
+        plan.service = ServiceName("desk");
+        plan.deadline = NOW + Duration{1000};
+        plan.callerDeadline = NOW + Duration{1200};
+        plan.goal = NOW + Duration{500};
+        return dispatcher.begin(++last, plan, NOW);
+    }
+};
+
+template<typename Action>
+const Action &only(const DispatchActions &actions)
+{
+    REQUIRE(actions.size() == 1);
+    REQUIRE(std::holds_alternative<Action>(actions[0]));
+    return std::get<Action>(actions[0]);
+}
+
+HostOutcome outcome(RunState state, HostReason reason, bool handed, int status = 0)
+{
+    HostOutcome one;
+    one.state = state;
+    one.reason = reason;
+    one.handed = handed;
+    one.response.status = status;
+    return one;
+}
+
+} // namespace
+
+TEST_CASE("the own data centre first, unless it would miss the goal", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("near", "east", 2);
+    fixture.peer("far", "west");
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "near");
+    fixture.table.find(ServerId("near"))->load.queued = 40;
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "far");
+}
+
+TEST_CASE("a slow, failing, silent or leaving server is passed over", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("good", "east", 1, 100);
+    fixture.peer("other", "east", 0, 100);
+    Peer &other = *fixture.table.find(ServerId("other"));
+    SECTION("slow")
+    {
+        other.load.workMs = 900;
+    }
+    SECTION("failing")
+    {
+        other.load.failShare = 0.5;
+    }
+    SECTION("silent")
+    {
+        other.heardAt = NOW - Duration{5000};
+    }
+    SECTION("leaving")
+    {
+        other.leaving = true;
+    }
+    SECTION("draining")
+    {
+        other.load.state = HostState::Draining;
+    }
+    SECTION("another service")
+    {
+        other.load.service = ServiceName("registry");
+    }
+    SECTION("cold")
+    {
+        other.load.cold = true;
+    }
+    for (int i = 0; i < 5; i++) {
+        fixture.table.find(ServerId("good"))->sent = 0;
+        CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "good");
+    }
+}
+
+TEST_CASE("refusals between daemons go on to others and spend no budget", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("a");
+    fixture.peer("b");
+    const SendOffer first = only<SendOffer>(fixture.begin(false, 1));
+    const auto second = fixture.dispatcher.ended(
+        first.offer, outcome(RunState::NotRun, HostReason::Full, false), NOW);
+    CHECK(only<SendOffer>(second).daemon != first.daemon);
+    const auto last = fixture.dispatcher.ended(
+        only<SendOffer>(second).offer, outcome(RunState::NotRun, HostReason::Full, false), NOW);
+    const OwnAnswer answer = only<OwnAnswer>(last);
+    CHECK(answer.status == 503);
+    CHECK(answer.retryAfter.ms > 0);
+    CHECK(answer.retryAfter.ms <= 600);
+    CHECK(fixture.dispatcher.underWay() == 0);
+}
+
+TEST_CASE("without a server the refusal says when to come back", "[dispatch]")
+{
+    Fixture fixture;
+    const OwnAnswer answer = only<OwnAnswer>(fixture.begin());
+    CHECK(answer.status == 503);
+    CHECK(answer.retryAfter.ms > 0);
+}
+
+TEST_CASE("what may not be repeated goes on only from not run", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("a");
+    fixture.peer("b");
+    const SendOffer sent = only<SendOffer>(fixture.begin(false));
+    SECTION("unknown")
+    {
+        const auto actions = fixture.dispatcher.ended(
+            sent.offer, outcome(RunState::Unknown, HostReason::Broken, true), NOW);
+        CHECK(only<OwnAnswer>(actions).status == 502);
+    }
+    SECTION("a failure")
+    {
+        const auto actions = fixture.dispatcher.ended(
+            sent.offer, outcome(RunState::Answered, HostReason::None, true, 500), NOW);
+        CHECK(only<PassAnswer>(actions).response.status == 500);
+    }
+    SECTION("shed by the server")
+    {
+        const auto actions = fixture.dispatcher.ended(
+            sent.offer, outcome(RunState::NotRun, HostReason::ServerShed, true), NOW);
+        CHECK(only<SendOffer>(actions).daemon != sent.daemon);
+    }
+    SECTION("the link broke: it is asked on the next one")
+    {
+        CHECK(fixture.dispatcher.linkLost(sent.daemon, NOW).empty());
+        const auto asked = fixture.dispatcher.linkOpened(sent.daemon, false, NOW);
+        CHECK(only<AskOutcome>(asked).offer == sent.offer);
+        const auto again = fixture.dispatcher.ended(
+            sent.offer, outcome(RunState::NotRun, HostReason::Forgotten, false), NOW);
+        CHECK(std::holds_alternative<SendOffer>(again.at(0)));
+    }
+    SECTION("the link broke and the daemon started anew: nobody knows")
+    {
+        fixture.dispatcher.linkLost(sent.daemon, NOW);
+        const auto actions = fixture.dispatcher.linkOpened(sent.daemon, true, NOW);
+        CHECK(only<OwnAnswer>(actions).status == 502);
+    }
+}
+
+TEST_CASE("what may be repeated is, elsewhere, within attempts and budget", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("a");
+    fixture.peer("b");
+    fixture.peer("c");
+    const SendOffer first = only<SendOffer>(fixture.begin());
+    const SendOffer second = only<SendOffer>(fixture.dispatcher.ended(
+        first.offer, outcome(RunState::Answered, HostReason::None, true, 500), NOW));
+    CHECK(second.daemon != first.daemon);
+    const auto last = fixture.dispatcher.ended(
+        second.offer, outcome(RunState::Unknown, HostReason::Broken, true), NOW);
+    CHECK(only<PassAnswer>(last).response.status == 500);
+
+    int repeats = 0;
+    for (int i = 0; i < 100; i++) {
+        const SendOffer sent = only<SendOffer>(fixture.begin());
+        const auto actions = fixture.dispatcher.ended(
+            sent.offer, outcome(RunState::Unknown, HostReason::Broken, true), NOW);
+        if (!std::holds_alternative<SendOffer>(actions.at(0)))
+            continue;
+        repeats++;
+        fixture.dispatcher.ended(std::get<SendOffer>(actions[0]).offer,
+                                 outcome(RunState::Answered, HostReason::None, true, 200), NOW);
+    }
+    CHECK(repeats >= 10);
+    CHECK(repeats <= 32);
+}
+
+TEST_CASE("the caller leaves, or the time is over: the offer is given up at once", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("a");
+    const SendOffer sent = only<SendOffer>(fixture.begin());
+    CHECK(only<CancelOffer>(fixture.dispatcher.callerLeft(fixture.last, NOW)).offer == sent.offer);
+    CHECK(fixture.table.find(ServerId("a"))->sent == 0);
+    fixture.begin();
+    const auto actions = fixture.dispatcher.timedOut(fixture.last, NOW);
+    REQUIRE(actions.size() == 2);
+    CHECK(std::get<OwnAnswer>(actions[1]).status == 504);
+    CHECK(fixture.dispatcher.ended(sent.offer, HostOutcome(), NOW).empty());
+}
+
+TEST_CASE("a second server is asked besides a slow one, and the first answer counts", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("slow", "east", 0, 300);
+    const SendOffer sent = only<SendOffer>(fixture.begin());
+    CHECK(fixture.dispatcher.hedgeDelay(fixture.last, NOW).ms == 300);
+    CHECK(fixture.dispatcher.hedge(fixture.last, NOW).empty());
+    fixture.peer("fast", "east", 4, 100);
+    CHECK(fixture.dispatcher.hedge(fixture.last, NOW).empty());
+    fixture.peer("fast", "east", 0, 100);
+    const SendOffer hedge = only<SendOffer>(fixture.dispatcher.hedge(fixture.last, NOW));
+    CHECK(hedge.waitMax.ms == 0);
+    SECTION("the second answers")
+    {
+        const auto actions = fixture.dispatcher.ended(
+            hedge.offer, outcome(RunState::Answered, HostReason::None, true, 200), NOW);
+        REQUIRE(actions.size() == 2);
+        CHECK(std::holds_alternative<PassAnswer>(actions[0]));
+        CHECK(std::get<CancelOffer>(actions[1]).offer == sent.offer);
+        CHECK(std::get<CancelOffer>(actions[1]).onlyWaiting);
+    }
+    SECTION("the second has no room: the first goes on")
+    {
+        CHECK(fixture.dispatcher
+                  .ended(hedge.offer, outcome(RunState::NotRun, HostReason::Busier, false), NOW)
+                  .empty());
+        const auto actions = fixture.dispatcher.ended(
+            sent.offer, outcome(RunState::Answered, HostReason::None, true, 200), NOW);
+        CHECK(std::holds_alternative<PassAnswer>(actions.at(0)));
+    }
+    Fixture commits;
+    commits.peer("slow", "east", 0, 300);
+    commits.begin(false);
+    CHECK(commits.dispatcher.hedgeDelay(commits.last, NOW).ms == 0);
+}
--- /dev/null
+++ b/src/exchange/tests/exchange_test.cpp
@@ -0,0 +1,172 @@
+/** @file exchange_test.cpp Requests and answers, byte by byte, and what is no request. */
+#include "exchange/answer_reader.h"
+#include "exchange/message_func.h"
+#include "exchange/request_reader.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace cornelwell;
+
+namespace {
+
+constexpr RequestLimits LIMITS{512, 64};
+
+/** Feeds a text in two parts. @return the requests read; nothing when one was refused. */
+std::vector<IncomingRequest> readSplit(const std::string &text, std::size_t split,
+                                       unsigned &refusal)
+{
+    RequestReader reader(LIMITS);
+    std::vector<IncomingRequest> requests;
+    for (const std::string &part : {text.substr(0, split), text.substr(split)}) {
+        reader.feed(part);
+        ReadStep step = reader.step();
+        while (step == ReadStep::Complete) {
+            requests.push_back(reader.take());
+            step = reader.step();
+        }
+        if (step == ReadStep::Failed) {
+            refusal = reader.refusalStatus();
+            return requests;
+        }
+    }
+    return requests;
+}
+
+} // namespace
+
+TEST_CASE("pipelined requests are read the same at every split", "[exchange]")
+{
+    const std::string text = "GET /a/b?c=d HTTP/1.1\r\nHost: x\r\n\r\n"
+                             "POST /p/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
+                             "POST /q/ HTTP/1.1\r\nHost: y\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "3\r\nabc\r\n2;x=1\r\nde\r\n0\r\n\r\n"
+                             "GET /last HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    for (std::size_t split = 0; split <= text.size(); split++) {
+        unsigned refusal = 0;
+        const auto requests = readSplit(text, split, refusal);
+        REQUIRE(refusal == 0);
+        REQUIRE(requests.size() == 4);
+        CHECK(requests[0].request.path == "/a/b?c=d");
+        CHECK(requests[1].request.body == "hello");
+        CHECK(requests[2].request.body == "abcde");
+        CHECK(requests[2].request.headers.get("host") == "y");
+        CHECK(requests[0].keepAlive);
+        CHECK_FALSE(requests[3].keepAlive);
+    }
+}
+
+TEST_CASE("ambiguous or broken requests are refused at every split", "[exchange]")
+{
+    const std::vector<std::string> bad = {
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+        "identity\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\na",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        "GET / HTTP/1.1\r\nBad Name: x\r\n\r\n",
+        "GET / HTTP/1.1\r\n: x\r\n\r\n",
+        "GET /a b HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GARBAGE\r\n\r\n",
+    };
+    for (const std::string &text : bad) {
+        for (std::size_t split = 0; split <= text.size(); split++) {
+            unsigned refusal = 0;
+            const auto requests = readSplit(text, split, refusal);
+            INFO(text);
+            CHECK(requests.empty());
+            CHECK(refusal == 400);
+        }
+    }
+}
+
+TEST_CASE("limits of header and body are kept", "[exchange]")
+{
+    unsigned refusal = 0;
+    readSplit("GET /" + std::string(600, 'x') + " HTTP/1.1\r\nHost: x\r\n\r\n", 300, refusal);
+    CHECK(refusal == 431);
+    readSplit("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n", 10, refusal);
+    CHECK(refusal == 413);
+    readSplit("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n" + std::string(80, 'x'),
+              20, refusal);
+    CHECK(refusal == 413);
+}
+
+TEST_CASE("a caller that waits to be told is told once", "[exchange]")
+{
+    RequestReader reader(LIMITS);
+    reader.feed("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    CHECK(reader.step() == ReadStep::NeedMore);
+    CHECK(reader.wantsContinue());
+    CHECK_FALSE(reader.wantsContinue());
+    reader.feed("ok");
+    CHECK(reader.step() == ReadStep::Complete);
+    CHECK_FALSE(reader.wantsContinue());
+}
+
+TEST_CASE("an answer is whole at its length, its last chunk or its end, and never before",
+          "[exchange]")
+{
+    const std::string counted = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+    for (std::size_t cut = 0; cut < counted.size(); cut++) {
+        AnswerReader reader;
+        reader.expect("GET");
+        reader.feed(counted.substr(0, cut));
+        CHECK(reader.step() == AnswerStep::NeedMore);
+        CHECK(reader.finish() == AnswerStep::Failed);
+    }
+    AnswerReader reader;
+    reader.expect("GET");
+    reader.feed("HTTP/1.1 100 Continue\r\n\r\n" + counted + "rest");
+    REQUIRE(reader.step() == AnswerStep::Complete);
+    CHECK(reader.take().body == "abc");
+    CHECK(reader.keepAlive());
+    CHECK(reader.hasExtraBytes());
+
+    AnswerReader unframed;
+    unframed.expect("GET");
+    unframed.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    CHECK(unframed.step() == AnswerStep::NeedMore);
+    REQUIRE(unframed.finish() == AnswerStep::Complete);
+    CHECK(unframed.take().body == "abc");
+    CHECK_FALSE(unframed.keepAlive());
+
+    AnswerReader chunked;
+    chunked.expect("GET");
+    chunked.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    CHECK(chunked.step() == AnswerStep::NeedMore);
+    CHECK(chunked.finish() == AnswerStep::Failed);
+    AnswerReader noise;
+    noise.expect("GET");
+    noise.feed("\x01\x02 no answer\r\n\r\n");
+    CHECK(noise.step() == AnswerStep::Failed);
+}
+
+TEST_CASE("fields of one connection are not forwarded", "[exchange]")
+{
+    HttpHeaders headers;
+    headers.add("Connection", "close, X-Hop");
+    headers.add("X-Hop", "1");
+    headers.add("Transfer-Encoding", "chunked");
+    headers.add("Keep-Alive", "timeout=3");
+    headers.add("X-Kept", "yes");
+    const HttpHeaders kept = forwardedHeaders(headers);
+    REQUIRE(kept.fields().size() == 1);
+    CHECK(kept.get("x-kept") == "yes");
+
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/x?y";
+    request.headers = kept;
+    request.body = "ab";
+    CHECK(requestBytes(request)
+          == "POST /x?y HTTP/1.1\r\nX-Kept: yes\r\nContent-Length: 2\r\n\r\nab");
+}
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -22,6 +22,8 @@
     Revision version = 0;      ///< Version in force there, as last told.
     Duration storeAge;         ///< How long ago it had heard from the platform's store.
     bool leaving = false;      ///< The daemon is about to stop.
+    std::string
+        leftInstance; ///< Server beside it that was last heard to leave; told it after a restart.
 };
 
 /** Thresholds for beliefs. */
--- /dev/null
+++ b/src/fleet/tests/fleet_test.cpp
@@ -0,0 +1,102 @@
+/** @file fleet_test.cpp Beliefs about daemons, and how they find each other. */
+#include "fleet/directory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelwell;
+
+namespace {
+
+constexpr TimePoint NOW{100000};
+
+DaemonRecord record(const std::string &name, std::uint16_t port = 1)
+{
+    return {ServerId(name), DataCentreId("east"), {"127.0.0.1", port}, ServiceName("desk"), 0};
+}
+
+Result<AnnounceAnswer> conflict(const DaemonRecord &stored)
+{
+    AnnounceAnswer answer;
+    answer.stored = StoredDaemon{stored, 44};
+    return answer;
+}
+
+Result<AnnounceAnswer> written()
+{
+    AnnounceAnswer answer;
+    answer.written = true;
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("hearsay does not move a linked daemon, its own word does", "[fleet]")
+{
+    PeerTable table(record("me"), PeerOptions());
+    CHECK(table.learn(record("a", 1), false));
+    CHECK_FALSE(table.learn(record("me", 9), false));
+    table.find(ServerId("a"))->linked = true;
+    CHECK_FALSE(table.learn(record("a", 2), false));
+    CHECK(table.find(ServerId("a"))->record.link.port == 1);
+    CHECK(table.learn(record("a", 2), true));
+    CHECK(table.find(ServerId("a"))->record.link.port == 2);
+}
+
+TEST_CASE("a silent daemon is doubted, and counts in no rank", "[fleet]")
+{
+    PeerTable table(record("me"), PeerOptions());
+    table.learn(record("a"), true);
+    table.learn(record("b"), true);
+    for (const char *name : {"a", "b"}) {
+        table.find(ServerId(name))->linked = true;
+        table.find(ServerId(name))->heardAt = NOW;
+    }
+    CHECK(table.soundCount(NOW) == 3);
+    CHECK(table.soundCount(NOW + seconds(10)) == 1);
+    CHECK(table.rankInDataCentre(NOW + seconds(10)) == 0);
+}
+
+TEST_CASE(
+    "a daemon announces itself, then lists; an object of its own is replaced only if it differs",
+    "[fleet]")
+{
+    PeerTable table(record("me", 7), PeerOptions());
+    Directory directory(table, DirectoryOptions(), 1);
+    CHECK(std::get<AnnounceSelf>(directory.start().at(0)).revision == 0);
+    SECTION("the same")
+    {
+        const auto actions = directory.announced(conflict(record("me", 7)), NOW);
+        CHECK(std::holds_alternative<ListDaemons>(actions.at(0)));
+    }
+    SECTION("another address")
+    {
+        const auto actions = directory.announced(conflict(record("me", 8)), NOW);
+        CHECK(std::get<AnnounceSelf>(actions.at(0)).revision == 44);
+        CHECK(std::holds_alternative<ListDaemons>(directory.announced(written(), NOW).at(0)));
+    }
+    SECTION("no answer: again after a pause")
+    {
+        const Result<AnnounceAnswer> lost = fail(ResultCode::PlatformUnknown, "lost");
+        CHECK(directory.announced(lost, NOW).empty());
+        CHECK(directory.tick(NOW).empty());
+        CHECK(std::holds_alternative<AnnounceSelf>(directory.tick(NOW + seconds(3)).at(0)));
+    }
+}
+
+TEST_CASE("all pages are read; later lists may be stale", "[fleet]")
+{
+    PeerTable table(record("me"), PeerOptions());
+    Directory directory(table, DirectoryOptions(), 1);
+    directory.start();
+    directory.announced(written(), NOW);
+    DaemonPage page;
+    page.daemons = {{record("a"), 1}, {record("me"), 2}};
+    page.more = true;
+    page.last = "me";
+    CHECK(std::get<ListDaemons>(directory.listed(page, NOW).at(0)).after == "me");
+    page.daemons = {{record("z"), 3}};
+    page.more = false;
+    CHECK(directory.listed(page, NOW).empty());
+    CHECK(table.peers().size() == 2);
+    CHECK(std::get<ListDaemons>(directory.tick(NOW + seconds(30)).at(0)).stale);
+}
--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -18,7 +18,9 @@
 constexpr std::size_t AGES_MIN = 4;      ///< Fewer running calls tell nothing.
 constexpr double LEAST_OF_WORK = 0.4;    ///< With less of the usual time left a call is not begun.
 constexpr std::size_t ROUTES_MAX = 1024; ///< Routes whose time is remembered.
-constexpr std::size_t GONE_MAX = 64;     ///< Servers that left, remembered.
+constexpr Duration GONE_FOR{
+    20000}; ///< Late reports of a server that left are refused for this long.
+constexpr std::size_t GONE_MAX = 64; ///< Servers that left, remembered.
 
 constexpr const char *REASON_NAMES[] = {"none",           "full",        "busier",
                                         "too_late",       "no_server",   "server_draining",
@@ -41,10 +43,11 @@
     return REASON_NAMES[static_cast<std::size_t>(reason)];
 }
 
-bool HostGate::isNewer(const ServerReport &report) const
+bool HostGate::isNewer(const ServerReport &report, TimePoint now) const
 {
     const auto gone = m_gone.find(report.instance);
-    if (gone != m_gone.end() && report.born <= gone->second)
+    if (gone != m_gone.end() && now < gone->second.until
+        && (gone->second.born == 0 || report.born <= gone->second.born))
         return false;
     if (m_server.instance.empty())
         return true;
@@ -55,7 +58,7 @@
 
 HostDecisions HostGate::report(const ServerReport &report, TimePoint now)
 {
-    if (!isNewer(report))
+    if (!isNewer(report, now))
         return {};
     if (report.instance != m_server.instance || report.born != m_server.born) {
         m_failShare = 0;
@@ -75,11 +78,12 @@
     const bool current = instance == m_server.instance && (born == 0 || born >= m_server.born);
     if (m_gone.size() >= GONE_MAX)
         m_gone.erase(m_gone.begin());
-    m_gone[instance] = std::max({m_gone[instance], born, current ? m_server.born : 0});
+    Gone &gone = m_gone[instance];
+    gone.born = std::max({gone.born, born, current ? m_server.born : 0});
+    gone.until = now + GONE_FOR;
     if (!current)
         return {};
     m_state = HostState::Draining;
-    (void)now;
     return refuseAll(HostReason::ServerDraining);
 }
 
@@ -293,7 +297,7 @@
     HostLoad load;
     load.instance = m_server.instance;
     load.service = m_server.service;
-    load.state = m_leaving && m_state == HostState::Ready ? HostState::Draining : m_state;
+    load.state = m_state;
     load.slots = m_server.slots;
     load.running = static_cast<unsigned>(m_running.size());
     load.queued = static_cast<unsigned>(m_queue.size());
--- a/src/hosting/host_gate.h
+++ b/src/hosting/host_gate.h
@@ -61,7 +61,14 @@
 private:
     using QueueKey = std::pair<unsigned, HostCallId>;
 
-    bool isNewer(const ServerReport &report) const;
+    /** A server that left. */
+    struct Gone
+    {
+        std::int64_t born = 0; ///< Its start; 0 when the leave did not tell.
+        TimePoint until{0};    ///< Late reports of it are refused until then.
+    };
+
+    bool isNewer(const ServerReport &report, TimePoint now) const;
     HostDecisions refuseAll(HostReason reason);
     HostDecisions startWaiting(TimePoint now);
     double workMs(const std::string &route) const;
@@ -77,7 +84,7 @@
     HostState m_state = HostState::None;
     bool m_leaving = false;
     TimePoint m_coldUntil{0};
-    std::map<std::string, std::int64_t> m_gone; ///< Servers that left, with their start.
+    std::map<std::string, Gone> m_gone; ///< Servers that left.
     std::map<QueueKey, HostCall> m_queue;
     std::unordered_map<HostCallId, HostCall> m_running;
     std::int64_t m_startedSum = 0; ///< Sum of the times at which running calls were started.
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -201,7 +201,7 @@
     Json operator()(const LinkState &m) const
     {
         return {Kind::State, m.name.text(), m.incarnation, toJson(m.load),
-                m.version,   m.storeAge.ms, m.leaving};
+                m.version,   m.storeAge.ms, m.leaving,     m.leftInstance};
     }
     Json operator()(const LinkCall &m) const
     {
@@ -304,7 +304,8 @@
                          loadOf(list.at(3)),
                          list.at(4).get<Revision>(),
                          {list.at(5).get<std::int64_t>()},
-                         list.at(6).get<bool>()};
+                         list.at(6).get<bool>(),
+                         list.at(7).get<std::string>()};
     case Kind::Call:
         return callOf(list);
     case Kind::Cancel:
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -33,6 +33,7 @@
     Revision version = 0;          ///< Version that it has in force.
     Duration storeAge;             ///< How long ago it heard from the platform's store.
     bool leaving = false;          ///< It is about to stop.
+    std::string leftInstance;      ///< Server beside the receiver that was last heard to leave.
 };
 /** Offers a call. */
 struct LinkCall
--- /dev/null
+++ b/src/link/tests/link_test.cpp
@@ -0,0 +1,120 @@
+/** @file link_test.cpp Messages of links: there and back, cut anywhere, damaged. */
+#include "link/link_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace cornelwell;
+
+namespace {
+
+LinkCall sampleCall()
+{
+    LinkCall call;
+    call.offer = 77;
+    call.request.method = "POST";
+    call.request.path = "/a/?x=1";
+    call.request.headers.add("X-Odd", std::string("\xff\x01 value", 8));
+    call.request.headers.add("X-Empty", "");
+    call.request.body = std::string("\0\n\xfe", 3);
+    call.requestId = "id-1";
+    call.route = "r";
+    call.instance = "i-1";
+    call.rank = 9;
+    call.timeLeft = {1200};
+    call.goalLeft = {-5};
+    call.returning = true;
+    call.fingerprint = 0xfedcba9876543210;
+    call.waitMax = {31};
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("a stream of messages is read the same however it is cut", "[link]")
+{
+    LinkResult result;
+    result.offer = 5;
+    result.outcome.state = RunState::Answered;
+    result.outcome.handed = true;
+    result.outcome.work = {44};
+    result.outcome.response.status = 201;
+    result.outcome.response.headers.add("A", "b");
+    result.outcome.response.body = "body";
+    result.load.slots = 9;
+    result.load.state = HostState::Ready;
+    LinkState state;
+    state.leftInstance = "i-9";
+    const std::string bytes = encodeLinkMessage(sampleCall()) + encodeLinkMessage(result)
+                              + encodeLinkMessage(LinkCancel{3, true}) + encodeLinkMessage(state);
+    for (std::size_t cut = 0; cut <= bytes.size(); cut++) {
+        LinkReader reader;
+        std::vector<LinkMessage> messages;
+        for (const std::string &part : {bytes.substr(0, cut), bytes.substr(cut)}) {
+            reader.feed(part);
+            while (reader.ready()) {
+                auto next = reader.next();
+                REQUIRE(next);
+                messages.push_back(std::move(next.value()));
+            }
+        }
+        REQUIRE(messages.size() == 4);
+        const auto &call = std::get<LinkCall>(messages[0]);
+        CHECK(call.request.headers.get("X-Odd") == std::string("\xff\x01 value", 8));
+        CHECK(call.request.headers.has("X-Empty"));
+        CHECK(call.request.body == std::string("\0\n\xfe", 3));
+        CHECK(call.fingerprint == 0xfedcba9876543210);
+        CHECK(call.goalLeft.ms == -5);
+        CHECK(call.waitMax.ms == 31);
+        CHECK(std::get<LinkResult>(messages[1]).outcome.response.body == "body");
+        CHECK(std::get<LinkResult>(messages[1]).outcome.work.ms == 44);
+        CHECK(std::get<LinkCancel>(messages[2]).onlyWaiting);
+        CHECK(std::get<LinkState>(messages[3]).leftInstance == "i-9");
+    }
+}
+
+TEST_CASE("damaged messages are errors, never more", "[link]")
+{
+    const std::string whole = encodeLinkMessage(sampleCall()).substr(4);
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 3000; i++) {
+        std::string damaged = whole.substr(0, random() % (whole.size() + 1));
+        for (int k = 0; k < 3 && !damaged.empty(); k++)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        const auto message = decodeLinkMessage(damaged);
+        if (!message)
+            CHECK(message.error().code == ResultCode::PeerMalformed);
+    }
+    LinkReader reader;
+    reader.feed("\xff\xff\xff\xff");
+    REQUIRE(reader.ready());
+    CHECK(reader.next().error().code == ResultCode::PeerTooLarge);
+}
+
+TEST_CASE("a version of routes goes there and back", "[link]")
+{
+    RouteUpdate update;
+    update.version = 9;
+    update.base = 7;
+    update.digest = 123;
+    Route route;
+    route.name = "r";
+    route.host = "h";
+    route.prefix = "/p/";
+    route.idempotent = true;
+    route.timeout = {900};
+    route.parts = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+    update.routes = {route};
+    update.removed = {"h /q/"};
+    update.services = {{ServiceName("a"), 130}};
+    update.limits.bodyBytes = 77;
+    const auto message = decodeLinkMessage(encodeLinkMessage(LinkRoutes{update}).substr(4));
+    REQUIRE(message);
+    const RouteUpdate &read = std::get<LinkRoutes>(message.value()).update;
+    CHECK(read.routes.at(0) == route);
+    CHECK(read.removed == update.removed);
+    CHECK(read.services.at(0).connectionsMax == 130);
+    CHECK(read.limits.bodyBytes == 77);
+    CHECK(read.base == 7);
+}
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -172,7 +172,10 @@
             m_links.replaceSender(*this);
             m_links.m_retries.erase(peer.name);
             m_links.m_listener.peerAnnounced(peer);
-            send(encodeLinkMessage(m_links.m_listener.linkState()));
+            LinkState state = m_links.m_listener.linkState();
+            if (const Peer *known = m_links.m_table.find(peer.name))
+                state.leftInstance = known->leftInstance;
+            send(encodeLinkMessage(state));
             return true;
         }
         if (peer.name.empty())
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -48,8 +48,8 @@
     , m_quarantine(quarantineOptions())
     , m_desk(loop, adapter.callFields(), *this, m_log)
     , m_dispatcher(
-          m_peers, m_budget, [this] { return m_desk.load(); }, DispatchOptions(),
-          seedOf(m_settings))
+          m_peers, m_budget, [this] { return m_leaving ? HostLoad() : m_desk.load(); },
+          DispatchOptions(), seedOf(m_settings))
     , m_spread(m_peers, SpreadOptions(), seedOf(m_settings) + 1)
     , m_directory(m_peers, DirectoryOptions(), seedOf(m_settings) + 2)
     , m_rotation(seedOf(m_settings))
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -17,8 +17,8 @@
 constexpr double MS_PER_SECOND = 1000;
 constexpr Duration NO_ROUTES_RETRY{300}; ///< Advice while no version is known.
 constexpr Duration LEAVING_RETRY{20};    ///< Advice while the daemon leaves: others serve at once.
-constexpr Duration HEDGE_PAUSE{120};         ///< Until room for a second server is looked for again.
-constexpr unsigned HEDGE_TRIES = 4;          ///< Looks for room.
+constexpr Duration HEDGE_PAUSE{120};     ///< Until room for a second server is looked for again.
+constexpr unsigned HEDGE_TRIES = 4;      ///< Looks for room.
 constexpr Duration RETURN_WITHIN{3000};  ///< A refused request is known again for this long.
 
 /** @return milliseconds that the caller waits; the route's timeout when it does not say. */
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -121,10 +121,20 @@
     if (peer == nullptr)
         return;
     peer->load = state.load;
+    if (state.load.state == HostState::Draining)
+        peer->leftInstance = state.load.instance;
+    else if (state.load.instance == peer->leftInstance)
+        peer->leftInstance.clear();
     peer->loadAt = now;
     peer->sentWhenTold = peer->sent;
     peer->storeAge = state.storeAge;
     peer->leaving = state.leaving;
+    if (!state.leftInstance.empty()) {
+        // Told by the daemon before this one: a late report must not bring the server back.
+        ServerReport left;
+        left.instance = state.leftInstance;
+        m_desk.leave(left);
+    }
     const bool behind = state.version != peer->version;
     peer->version = state.version;
     if (behind)
--- /dev/null
+++ b/src/node/tests/node_test.cpp
@@ -0,0 +1,139 @@
+/** @file node_test.cpp Answers judged, refused requests known again, links to reused addresses. */
+#include "log/decision_log.h"
+#include "manual_clock.h"
+#include "node/peer_links.h"
+#include "node/return_memory.h"
+#include "node/server_pool.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelwell;
+
+namespace {
+
+const CallFields FIELDS
+    = {"Id", "Deadline", "Instance", "Not-Run", "Seal", "Caller", "Retry-After"};
+
+HttpResponse answer(int status, const std::string &id, bool seal)
+{
+    HttpResponse response;
+    response.status = status;
+    if (!id.empty())
+        response.headers.add("Id", id);
+    if (seal)
+        response.headers.add("Seal", "s");
+    return response;
+}
+
+/** Counts what links tell. */
+class Listener : public PeerLinksListener
+{
+public:
+    explicit Listener(std::string name) : m_name(std::move(name)) {}
+
+    LinkState linkState() const override
+    {
+        LinkState state;
+        state.name = ServerId(m_name);
+        state.incarnation = 1;
+        return state;
+    }
+    Revision routesVersion() const override { return 0; }
+    void linkUp(const ServerId &, bool) override { ups++; }
+    void linkDown(const ServerId &) override { downs++; }
+    void senderLost(const ServerId &, std::uint64_t) override { lost++; }
+    void peerGone(const ServerId &peer) override { gone = peer.text(); }
+    void peerAnnounced(const DaemonRecord &) override {}
+    void answerReceived(const ServerId &, LinkMessage) override {}
+    void requestReceived(const DaemonRecord &, LinkMessage) override {}
+
+    int ups = 0;
+    int downs = 0;
+    int lost = 0;
+    std::string gone;
+
+private:
+    std::string m_name;
+};
+
+DaemonRecord record(const std::string &name, std::uint16_t port)
+{
+    return {ServerId(name), DataCentreId("east"), {"127.0.0.1", port}, ServiceName("desk"), 1};
+}
+
+} // namespace
+
+TEST_CASE("only the server's sealed answer to this very request is one", "[node]")
+{
+    CHECK(judgeAnswer(answer(200, "7", true), "7", FIELDS).state == RunState::Answered);
+    CHECK(judgeAnswer(answer(500, "7", false), "7", FIELDS).state == RunState::Answered);
+    CHECK(judgeAnswer(answer(200, "7", false), "7", FIELDS).state == RunState::Unknown);
+    CHECK(judgeAnswer(answer(200, "", true), "7", FIELDS).state == RunState::Unknown);
+    CHECK(judgeAnswer(answer(200, "8", true), "7", FIELDS).state == RunState::Unknown);
+    HttpResponse coded = answer(200, "7", true);
+    coded.headers.add("Content-Encoding", "gzip");
+    CHECK(judgeAnswer(coded, "7", FIELDS).state == RunState::Unknown);
+    HttpResponse shed = answer(503, "7", false);
+    CHECK(judgeAnswer(shed, "7", FIELDS).state == RunState::Answered);
+    shed.headers.add("Not-Run", "1");
+    CHECK(judgeAnswer(shed, "7", FIELDS).reason == HostReason::ServerShed);
+    CHECK(judgeAnswer(answer(421, "", false), "7", FIELDS).reason == HostReason::InstanceChanged);
+}
+
+TEST_CASE("a refused request is known again for a while, as often as it was refused", "[node]")
+{
+    ReturnMemory memory;
+    memory.refused(1, {500}, {3000});
+    memory.refused(1, {900}, {3000});
+    CHECK(memory.take(1, {1000})->ms == 500);
+    CHECK(memory.take(1, {1000}).has_value());
+    CHECK_FALSE(memory.take(1, {1000}).has_value());
+    memory.refused(2, {500}, {3000});
+    CHECK_FALSE(memory.take(2, {3000}).has_value());
+}
+
+TEST_CASE("a hello that means another daemon leaves the good link alone", "[node]")
+{
+    EventLoop loop;
+    PeerTable oldTable(record("asker", 47311), PeerOptions());
+    PeerTable newTable(record("newcomer", 47312), PeerOptions());
+    Listener asker("asker");
+    Listener newcomer("newcomer");
+    PeerLinks from(loop, oldTable, asker, PeerLinkOptions());
+    PeerLinks to(loop, newTable, newcomer, PeerLinkOptions());
+    REQUIRE(to.listen());
+    oldTable.learn(record("newcomer", 47312), true);
+    from.tick();
+    loop.after({200}, [&] {
+        CHECK(from.linksUp() == 1);
+        // The VM that had the address before is still known.
+        oldTable.learn(record("departed", 47312), true);
+        from.tick();
+    });
+    loop.after({500}, [&] { loop.stop(); });
+    loop.run();
+    CHECK(asker.gone == "departed");
+    CHECK(from.linksUp() == 1);
+    CHECK(newcomer.lost == 0);
+    CHECK(asker.downs == 0);
+}
+
+TEST_CASE("the decision log is bounded, and failures go before what went well", "[log]")
+{
+    ManualClock clock;
+    DecisionLogOptions options;
+    options.linesPerSecond = 10;
+    options.reservedForFailures = 6;
+    DecisionLog log(clock, options);
+    int good = 0;
+    int bad = 0;
+    for (int i = 0; i < 50; i++)
+        log.request("answered", false, [&](LogFields &) { good++; });
+    for (int i = 0; i < 50; i++)
+        log.request("answered", true, [&](LogFields &) { bad++; });
+    CHECK(good == 4);
+    CHECK(bad == 6);
+    LogFields fields;
+    fields.add("key", "a\"b\\c\n");
+    CHECK(fields.text() == ",\"key\":\"a\\\"b\\\\c\\u000a\"");
+}
--- /dev/null
+++ b/tests/adapter_test.cpp
@@ -0,0 +1,196 @@
+/** @file adapter_test.cpp The users' platform translated: settings, reports, documents, objects. */
+#include "platform/object_platform.h"
+
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+using namespace cornelwell;
+
+namespace {
+
+using Json = nlohmann::json;
+
+const ObjectPlatform PLATFORM;
+
+Json settings()
+{
+    return {
+        {"self",
+         {{"node-name", "vm-1"},
+          {"ip", "10.1.0.3"},
+          {"zone", "east"},
+          {"service", "desk"},
+          {"app-addr", "10.1.0.3:8147"}}},
+        {"network",
+         {{"listen-addrs",
+           {{"outbound", "10.1.0.3:8141"},
+            {"ready", "10.1.0.3:8140"},
+            {"control", "10.1.0.3:8146"}}},
+          {"internal-ports", {7660, 7675}}}},
+        {"platform", {{"platform", {{"address", "10.2.1.7:8142"}}}}},
+        {"timers", {{"bounds", {{"budget-ratio", 0.2}, {"budget-slack", 64}, {"grace-s", 6}}}}}};
+}
+
+HttpRequest put(const std::string &path, const std::string &body)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = path;
+    request.body = body;
+    return request;
+}
+
+Json report()
+{
+    return {{"service", "desk"}, {"address", "10.1.0.3:8147"}, {"zone", "east"}, {"slots", 9},
+            {"state", "ready"},  {"warmup-left-ms", 700},      {"sequence", 4},  {"born", 1000}};
+}
+
+Json document()
+{
+    return {{"version", "0000000c"},
+            {"routes",
+             {{{"name", "r"},
+               {"host", "h"},
+               {"path-prefix", "/p/"},
+               {"kind", "non_idempotent"},
+               {"timeout-ms", 1500},
+               {"priority", 1},
+               {"max-attempts", 2},
+               {"split",
+                {{{"service", "desk"}, {"weight", 90}}, {{"service", "x"}, {"weight", 10}}}}}}},
+            {"services", {{{"name", "desk"}, {"max-conns", 130}}, {{"name", "x"}}}},
+            {"limits", {{"header-bytes", 100}, {"idle-timeout-ms", 15000}}}};
+}
+
+HttpResponse answer(int status, const Json &body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = body.dump();
+    return response;
+}
+
+Json object(const std::string &name, const Json &spec, std::uint64_t revision = 5)
+{
+    return {{"meta", {{"name", name}, {"revision", revision}}}, {"spec", spec}};
+}
+
+} // namespace
+
+TEST_CASE("settings are read, and each fault has its number and place", "[adapter]")
+{
+    const auto read = PLATFORM.settings(settings().dump());
+    REQUIRE(read);
+    CHECK(read.value().self.link.port == 7660);
+    CHECK(read.value().server.port == 8147);
+    CHECK(read.value().grace.ms == 6000);
+    const auto fault = [](const std::string &text) { return PLATFORM.settings(text).error(); };
+    CHECK(fault("{").code == ResultCode::SettingsSyntax);
+    Json bad = settings();
+    bad["self"].erase("zone");
+    CHECK(fault(bad.dump()).code == ResultCode::SettingsMissingKey);
+    CHECK(fault(bad.dump()).where == "/self/zone");
+    bad = settings();
+    bad["self"]["app-addr"] = 7;
+    CHECK(fault(bad.dump()).code == ResultCode::SettingsWrongType);
+    bad = settings();
+    bad["platform"]["platform"]["address"] = "store.example:80";
+    CHECK(fault(bad.dump()).code == ResultCode::AddressInvalid);
+    bad = settings();
+    bad["network"].erase("internal-ports");
+    CHECK(fault(bad.dump()).code == ResultCode::SettingsMissingKey);
+}
+
+TEST_CASE("reports of servers are read; those of other writers name no server", "[adapter]")
+{
+    const std::string path = "/api/instances/i-7";
+    const auto read = PLATFORM.serverNotice(put(path, report().dump()));
+    REQUIRE(read);
+    CHECK(read.value().report.instance == "i-7");
+    CHECK(read.value().report.coldLeft.ms == 700);
+    CHECK(read.value().report.born == 1000);
+    HttpRequest leave;
+    leave.method = "DELETE";
+    leave.path = path;
+    CHECK(PLATFORM.serverNotice(leave).value().leave);
+    for (const char *key : {"service", "address", "slots", "state", "sequence"}) {
+        Json bad = report();
+        bad.erase(key);
+        CHECK_FALSE(PLATFORM.serverNotice(put(path, bad.dump())));
+        bad[key] = Json::array();
+        CHECK_FALSE(PLATFORM.serverNotice(put(path, bad.dump())));
+    }
+    Json odd = report();
+    odd["state"] = "resting";
+    CHECK_FALSE(PLATFORM.serverNotice(put(path, odd.dump())));
+    CHECK_FALSE(PLATFORM.serverNotice(put(path, "\x80\xff")));
+    CHECK_FALSE(PLATFORM.serverNotice(put(path, std::string(5000, ' '))));
+    CHECK_FALSE(PLATFORM.serverNotice(put("/api/instances/", report().dump())));
+}
+
+TEST_CASE("the newest document is read from lists and watches", "[adapter]")
+{
+    const auto read = PLATFORM.routesRead(
+        answer(200, {{"items", {object("main", document())}}, {"store-revision", 77}}));
+    REQUIRE(read);
+    CHECK(read.value().storeRevision == 77);
+    const RouteDocument routes = read.value().document->value();
+    CHECK(routes.version == 12);
+    CHECK_FALSE(routes.routes.at(0).idempotent);
+    CHECK(routes.routes.at(0).parts.at(1).weight == 10);
+    CHECK(routes.limits.headerBytes == 100);
+
+    Json later = document();
+    later["version"] = "0000000d";
+    const Json events = {{{"object", object("main", later, 9)}, {"deleted", false}},
+                         {{"object", object("main", document(), 8)}, {"deleted", false}},
+                         {{"object", object("other", 1, 10)}, {"deleted", false}}};
+    const auto watched
+        = PLATFORM.routesWatched(answer(200, {{"events", events}, {"store-revision", 80}}));
+    REQUIRE(watched);
+    CHECK(watched.value().document->value().version == 13);
+    CHECK_FALSE(
+        PLATFORM.routesWatched(answer(200, {{"events", Json::array()}, {"store-revision", 80}}))
+            .value()
+            .document);
+    CHECK(PLATFORM.routesWatched(answer(410, {})).error().code == ResultCode::PlatformHistoryGone);
+    CHECK_FALSE(PLATFORM.routesRead(answer(200, {{"items", 3}})));
+    for (const char *key : {"version", "routes", "services"}) {
+        Json bad = document();
+        bad.erase(key);
+        const auto faulty = PLATFORM.routesRead(
+            answer(200, {{"items", {object("main", bad)}}, {"store-revision", 1}}));
+        CHECK_FALSE(*faulty.value().document);
+    }
+    Json unnamed = document();
+    unnamed["routes"][0]["kind"] = "sometimes";
+    CHECK_FALSE(
+        *PLATFORM
+             .routesRead(answer(200, {{"items", {object("main", unnamed)}}, {"store-revision", 1}}))
+             .value()
+             .document);
+}
+
+TEST_CASE("daemons are announced and listed as objects", "[adapter]")
+{
+    const DaemonRecord self{
+        ServerId("vm-1"), DataCentreId("east"), {"10.1.0.3", 7660}, ServiceName("desk"), 99};
+    const HttpRequest create = PLATFORM.announce(self, 0);
+    CHECK(create.method == "POST");
+    const Json body = Json::parse(create.body);
+    CHECK(PLATFORM.announced(answer(200, body)).value().written);
+    const auto taken = PLATFORM.announced(answer(409, object("vm-1", body["spec"], 6)));
+    REQUIRE(taken.value().stored);
+    CHECK(taken.value().stored->record.link == self.link);
+    CHECK(taken.value().stored->revision == 6);
+    CHECK(PLATFORM.announce(self, 6).method == "PUT");
+    CHECK_FALSE(PLATFORM.announced(answer(404, {})).value().written);
+    const auto page = PLATFORM.daemonsListed(answer(
+        200, {{"items", {object("vm-1", body["spec"]), object("zz", "odd")}}, {"has-more", true}}));
+    REQUIRE(page);
+    CHECK(page.value().daemons.size() == 1);
+    CHECK(page.value().more);
+    CHECK(page.value().last == "zz");
+}
