Feature: node: a server or daemon that falls silent is found before its calls time out

Change: after 2.5 times the usual work without a sign of the server a connection is tried, and without it within 400 ms the server is down and its calls are told as broken; a call at a daemon whose state is overdue (600 ms) is asked for elsewhere.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -143,7 +143,7 @@
     if (!chosen || chosen->waitMs > 0)
         return actions;
     const Peer *peer = m_table.find(first);
-    const bool silent = peer != nullptr && !m_table.isSound(*peer, now);
+    const bool silent = peer != nullptr && m_table.isHushed(*peer, now);
     const double firstMs = peer != nullptr ? peer->load.workMs : m_localLoad().workMs;
     const Peer *other = m_table.find(chosen->name);
     const double otherMs = other != nullptr ? other->load.workMs : m_localLoad().workMs;
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -32,6 +32,12 @@
     return added || moved;
 }
 
+bool PeerTable::isHushed(const Peer &peer, TimePoint now) const
+{
+    const bool near = peer.record.dataCentre == m_self.dataCentre;
+    return now - peer.heardAt > (near ? m_options.hushAfter : m_options.hushAfter * 5 / 2);
+}
+
 bool PeerTable::isSound(const Peer &peer, TimePoint now) const
 {
     // Daemons of other data centres tell their state more rarely.
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -29,6 +29,8 @@
 /** Thresholds for beliefs. */
 struct PeerOptions
 {
+    Duration hushAfter
+        = {600}; ///< A peer silent for this long may be gone: a second server is asked.
     Duration doubtAfter
         = {1300}; ///< A peer silent for this long is chosen only when no other is left.
 };
@@ -56,6 +58,8 @@
     bool learn(const DaemonRecord &record, bool firstHand);
     /** Forgets a peer. */
     void forget(const ServerId &name) { m_peers.erase(name); }
+    /** @return true when a state of the peer is overdue. */
+    bool isHushed(const Peer &peer, TimePoint now) const;
     /** @return true when a peer was heard lately over an open link. */
     bool isSound(const Peer &peer, TimePoint now) const;
     /** @return daemons that can be reached now, this one included. */
--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -142,6 +142,16 @@
     return std::max(known, age * AGE_FACTOR);
 }
 
+TimePoint HostGate::oldestStart() const
+{
+    TimePoint oldest = NEVER;
+    for (const auto &[id, call] : m_running) {
+        if (call.started < oldest)
+            oldest = call.started;
+    }
+    return oldest;
+}
+
 Duration HostGate::waitFor(unsigned rank, TimePoint now) const
 {
     const auto behind = m_queue.lower_bound(QueueKey{rank + 1, 0});
--- a/src/hosting/host_gate.h
+++ b/src/hosting/host_gate.h
@@ -55,6 +55,8 @@
     const Endpoint &address() const { return m_server.address; }
     /** @return calls that wait. */
     std::size_t waiting() const { return m_queue.size(); }
+    /** @return when the call was started that has been at the server for longest. */
+    TimePoint oldestStart() const;
     /** @return calls at the server. */
     std::size_t running() const { return m_running.size(); }
 
--- a/src/node/host_desk.cpp
+++ b/src/node/host_desk.cpp
@@ -11,6 +11,10 @@
 
 constexpr Duration KEEP_OUTCOME{5000}; ///< Outcomes are kept for senders this long.
 constexpr std::size_t KEEP_MAX = 4096; ///< Outcomes kept.
+constexpr double SILENT_WORKS = 2.5;   ///< Times the usual work after which silence is looked into,
+constexpr Duration SILENT_MIN{400};    ///< at least this,
+constexpr Duration SILENT_MAX{1200};   ///< and at most this.
+constexpr Duration PROBE_PAUSE{1000};  ///< Between two looks.
 constexpr Duration SUSPECT_FOR{400};   ///< Calls broken within this before a crash are suspects.
 
 HostOutcome notRunOutcome(HostReason reason, Duration retryAfter)
@@ -142,13 +146,37 @@
         m_pool.dropIdle();
         m_listener.hostChanged();
     } else if (broken) {
-        m_pool.probe(m_gate.address(), [this](bool listens) {
-            if (!listens)
-                serverDown();
-        });
+        probeServer();
     }
 }
 
+void HostDesk::probeServer()
+{
+    m_pool.probe(m_gate.address(), [this](bool listens) {
+        if (listens)
+            return;
+        serverDown();
+        // What it had is lost with it; whoever may be repeated goes on elsewhere now.
+        m_pool.breakAll();
+    });
+}
+
+/** A server that went away without a word is seen by its silence, and proved by a connection. */
+void HostDesk::watchSilence()
+{
+    if (m_gate.running() == 0 || load().state != HostState::Ready)
+        return;
+    const TimePoint now = m_loop.now();
+    const Duration usual{static_cast<std::int64_t>(load().workMs * SILENT_WORKS)};
+    const Duration bound = usual < SILENT_MIN   ? SILENT_MIN
+                           : usual < SILENT_MAX ? usual
+                                                : SILENT_MAX;
+    if (now - m_pool.lastSign() < bound || now - m_gate.oldestStart() < bound || now < m_nextProbe)
+        return;
+    m_nextProbe = now + PROBE_PAUSE;
+    probeServer();
+}
+
 void HostDesk::serverDown()
 {
     const TimePoint now = m_loop.now();
@@ -259,6 +287,7 @@
 {
     const TimePoint now = m_loop.now();
     carryOut(m_gate.tick(now));
+    watchSilence();
     while (!m_keptOrder.empty()
            && (m_keptOrder.front().first <= now || m_keptOrder.size() > KEEP_MAX)) {
         m_kept.erase(m_keptOrder.front().second);
--- a/src/node/host_desk.h
+++ b/src/node/host_desk.h
@@ -95,7 +95,8 @@
     void start(HostCallId id);
     void ended(HostCallId id, const ServerResult &result);
     void finish(HostCallId id, const HostOutcome &outcome);
-    void checkServer(const std::vector<HostCallId> &broken);
+    void watchSilence();
+    void probeServer();
     void serverDown();
     HttpRequest serverRequest(const Call &call) const;
 
@@ -112,6 +113,7 @@
     std::deque<std::pair<TimePoint, std::pair<std::uint64_t, std::string>>>
         m_suspects; ///< Broken lately.
     HostCallId m_lastCall = 0;
+    TimePoint m_nextProbe{0};
 };
 
 } // namespace cornelwell
--- a/src/node/server_pool.cpp
+++ b/src/node/server_pool.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration CONNECT_TIMEOUT{1000};
+constexpr Duration PROBE_TIMEOUT{400}; ///< A server on the same VM takes a connection within this.
 constexpr Duration IDLE_DEFAULT{
     6000}; ///< An idle connection is used within this, when the server names no time.
 constexpr int STRAY_ANSWERS_MAX = 3; ///< Answers to other requests that are read past.
@@ -106,6 +107,7 @@
 
     void received(std::string_view bytes) override
     {
+        m_pool.m_lastSign = m_pool.m_loop.now();
         if (current.id == 0) {
             // Bytes that answer nothing: whatever follows on this connection cannot be trusted.
             finish({}, false);
@@ -134,6 +136,13 @@
         finish(failedResult(RunState::Unknown, HostReason::Broken, true), false);
     }
 
+    /** Ends the request as broken. */
+    void giveUp()
+    {
+        if (current.id != 0)
+            ended(ConnectionEnd::Reset);
+    }
+
     ServerRequest current;  ///< The request under way; id 0 when idle.
     Endpoint address;       ///< Where it is connected to.
     TimePoint startedAt{0}; ///< When the request was handed over.
@@ -227,19 +236,22 @@
 {
 public:
     Probe(ServerPool &pool, const Endpoint &server, std::function<void(bool)> callback)
-        : m_callback(std::move(callback))
-        , m_connection(TcpConnection::open(pool.m_loop, server, CONNECT_TIMEOUT, *this))
+        : m_pool(pool)
+        , m_callback(std::move(callback))
+        , m_connection(TcpConnection::open(pool.m_loop, server, PROBE_TIMEOUT, *this))
     {}
 
     void connected() override
     {
         m_connection->close();
+        m_pool.m_lastSign = m_pool.m_loop.now();
         m_callback(true);
     }
     void received(std::string_view) override {}
-    void ended(ConnectionEnd end) override { m_callback(end == ConnectionEnd::Timeout); }
+    void ended(ConnectionEnd) override { m_callback(false); }
 
 private:
+    ServerPool &m_pool;
     std::function<void(bool)> m_callback;
     TcpConnectionPtr m_connection;
 };
@@ -299,6 +311,15 @@
     m_loop.after({0}, [exchange] {});
 }
 
+void ServerPool::breakAll()
+{
+    std::vector<std::shared_ptr<Exchange>> all;
+    for (const auto &[id, exchange] : m_active)
+        all.push_back(exchange);
+    for (const auto &exchange : all)
+        exchange->giveUp();
+}
+
 void ServerPool::probe(const Endpoint &server, std::function<void(bool)> callback)
 {
     if (!m_probes.empty())
--- a/src/node/server_pool.h
+++ b/src/node/server_pool.h
@@ -46,10 +46,14 @@
     void send(const Endpoint &server, ServerRequest request);
     /** Closes the connection of a request; nothing is told of it any more. */
     void abort(HostCallId id);
+    /** Closes the connections of all requests; each is told as broken. */
+    void breakAll();
     /** Finds out whether the server still listens. @param callback Told true when it does. */
     void probe(const Endpoint &server, std::function<void(bool)> callback);
     /** Closes connections that lie idle: the server there is another one now. */
     void dropIdle();
+    /** @return when the server last ended a request or took a connection. */
+    TimePoint lastSign() const { return m_lastSign; }
     /** @return connections opened since the start. */
     std::uint64_t opened() const { return m_opened; }
 
@@ -67,6 +71,7 @@
     std::vector<std::shared_ptr<Exchange>> m_idle; ///< The one used last at the end.
     std::vector<std::shared_ptr<Probe>> m_probes;
     std::uint64_t m_opened = 0;
+    TimePoint m_lastSign{0};
 };
 
 /**
