Feature: sim: a fleet's real decisions in virtual time; servers are drawn before they are compared

Cause: nothing showed how the choice behaves beyond the sites' 12 machines. Writing it also showed that a result for an earlier start of a daemon was sent on the link of the later one, whose offers have the same numbers.

--- /dev/null
+++ b/bench/sim_command.cpp
@@ -0,0 +1,77 @@
+/** @file sim_command.cpp `sim`: days of a modelled fleet in virtual time. */
+#include "bench_internal.h"
+#include "model_type.h"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace cornelwell {
+
+namespace {
+
+nlohmann::json toJson(const ModelOptions &options, const ModelReport &report)
+{
+    const double asked = report.asked == 0 ? 1 : report.asked;
+    return {{"seed", options.seed},
+            {"disturbance", disturbanceName(options.disturbance)},
+            {"daemons", options.daemons},
+            {"asked", report.asked},
+            {"in_goal", report.inGoal / asked},
+            {"late", report.late / asked},
+            {"failed", report.failed / asked},
+            {"repeats", report.repeats},
+            {"messages_a_daemon_second",
+             report.messages / options.daemons / (static_cast<double>(options.length.ms) / 1000)},
+            {"across", report.cross},
+            {"in_force_ms", report.spreadMs},
+            {"broken", report.broken}};
+}
+
+} // namespace
+
+int runSimCommand(int argc, char **argv)
+{
+    cxxopts::Options options("cornelwell-bench sim",
+                             "Days of a modelled fleet; prints one JSON object a day");
+    auto add = options.add_options();
+    add("days", "Days of each disturbance", cxxopts::value<unsigned>()->default_value("1"));
+    add("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("daemons", "Daemons", cxxopts::value<unsigned>()->default_value("12"));
+    add("centres", "Data centres", cxxopts::value<unsigned>()->default_value("3"));
+    add("load", "Calls offered, as a share of what servers can run",
+        cxxopts::value<double>()->default_value("0.6"));
+    add("only", "One disturbance", cxxopts::value<std::string>()->default_value(""));
+    add("compare", "Each day also without second servers");
+    add("h,help", "Help");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    bool kept = true;
+    for (unsigned day = 0; day < parsed["days"].as<unsigned>(); day++) {
+        for (unsigned i = 0; i < static_cast<unsigned>(Disturbance::Count); i++) {
+            ModelOptions model;
+            model.seed = parsed["seed"].as<std::uint64_t>() + day;
+            model.daemons = parsed["daemons"].as<unsigned>();
+            model.centres = parsed["centres"].as<unsigned>();
+            model.load = parsed["load"].as<double>();
+            model.disturbance = static_cast<Disturbance>(i);
+            const std::string only = parsed["only"].as<std::string>();
+            if (!only.empty() && only != disturbanceName(model.disturbance))
+                continue;
+            const ModelReport report = playDay(model);
+            kept = kept && report.broken.empty();
+            std::cout << toJson(model, report).dump() << "\n";
+            if (parsed.count("compare") == 0)
+                continue;
+            model.dispatch.hedgeShare = 100;
+            std::cout << "  without: " << toJson(model, playDay(model)).dump() << "\n";
+        }
+    }
+    return kept ? 0 : 1;
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/sim/fleet_model.cpp
@@ -0,0 +1,692 @@
+/** @file fleet_model.cpp The day: callers, servers, links and disturbances around real decisions.
+ */
+#include "fleet_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr const char *NAMES[]
+    = {"none", "kill", "cut", "slow", "crash", "leave", "overload", "lost-answers"};
+static_assert(std::size(NAMES) == static_cast<std::size_t>(Disturbance::Count),
+              "a name for each disturbance");
+
+constexpr Duration TICK{200};
+constexpr Duration REPORT{1500};
+constexpr Duration NEAR_STATE{400};
+constexpr Duration SILENCE{1700}; ///< A broken link is noticed after this.
+constexpr Duration RESTART{700};  ///< A killed daemon is back after this.
+constexpr Duration DRAIN{
+    2000}; ///< No hand-over later than this after a server said that it leaves.
+constexpr Duration ANSWER_SLACK{
+    30}; ///< A request is answered this long after its deadline at the latest.
+constexpr Duration WARM_UP{2000};    ///< Daemons find each other before callers come.
+constexpr double MEAN_WORK_MS = 180; ///< Of a request at a server of speed 1.
+constexpr double SPREAD = 0.5;       ///< Of the logarithm of a request's work.
+constexpr unsigned TRIES_MAX = 2;    ///< Tries of a caller.
+constexpr double BUDGET_RATIO = 0.2; ///< Repeats allowed by the rules: this share of requests
+constexpr double BUDGET_SLACK = 64;  ///< and this many.
+constexpr double CALLS_LOST = 0.1;   ///< Share of answers that are lost in that disturbance.
+
+} // namespace
+
+const char *disturbanceName(Disturbance disturbance)
+{
+    return NAMES[static_cast<std::size_t>(disturbance)];
+}
+
+FleetModel::FleetModel(const ModelOptions &options)
+    : m_options(options), m_random(options.seed), m_end(m_now + options.length)
+{
+    Route route;
+    route.host = "h";
+    route.timeout = {3000};
+    route.parts = {{ServiceName("desk"), 1}};
+    route.prefix = "/";
+    route.name = "r";
+    m_document.routes = {route};
+    m_document.services = {{ServiceName("desk"), 100}};
+    constexpr double SPEEDS[] = {0.6, 1.0, 1.4};
+    m_nodes.resize(options.daemons);
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        Node &node = m_nodes[i];
+        node.centre = i % options.centres;
+        node.record = {ServerId("d" + std::to_string(i)),
+                       DataCentreId("c" + std::to_string(node.centre)),
+                       {"127.0.0.1", static_cast<std::uint16_t>(i + 1)},
+                       ServiceName("desk"),
+                       0};
+        node.server.speed = SPEEDS[(i / options.centres) % std::size(SPEEDS)];
+        node.server.instance = "s" + std::to_string(i);
+        startNode(i);
+    }
+}
+
+void FleetModel::at(Duration delay, std::function<void()> run)
+{
+    m_events.push({(m_now + delay).ms, ++m_order, std::move(run)});
+}
+
+void FleetModel::broken(const std::string &what)
+{
+    m_report.broken.push_back(std::to_string(m_now.ms) + ": " + what);
+}
+
+std::optional<std::size_t> FleetModel::indexOf(const ServerId &name) const
+{
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        if (m_nodes[i].record.name == name)
+            return i;
+    }
+    return std::nullopt;
+}
+
+void FleetModel::startNode(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    node.record.incarnation = ++m_incarnation;
+    node.up = true;
+    node.seen = 0;
+    node.table = std::make_unique<PeerTable>(node.record, PeerOptions());
+    node.budget = std::make_unique<ServiceBudget>(
+        ServiceBudgetOptions{BUDGET_RATIO * 0.55, BUDGET_SLACK, seconds(10)});
+    node.gate = std::make_unique<HostGate>(m_options.host);
+    node.dispatcher = std::make_unique<Dispatcher>(
+        *node.table, *node.budget, [this, index] { return m_nodes[index].gate->load(m_now); },
+        m_options.dispatch, m_random.bits());
+    node.spread = std::make_unique<RouteSpread>(*node.table, SpreadOptions(), m_random.bits());
+    node.lost.clear();
+    node.known.clear();
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        if (i != index)
+            node.lost.insert(i);
+    }
+    perform(index, node.spread->start(m_now));
+    const std::uint64_t life = node.record.incarnation;
+    at(m_random.jitter({50}), [this, index, life] {
+        if (m_nodes[index].up && m_nodes[index].record.incarnation == life)
+            tick(index);
+    });
+    at(m_random.jitter({300}), [this, index, life] {
+        if (m_nodes[index].up && m_nodes[index].record.incarnation == life)
+            report(index, m_nodes[index].server.leaving);
+    });
+}
+
+void FleetModel::killNode(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    node.up = false;
+    for (const auto &[flight, one] : node.tries)
+        answered(index, flight, 0, {0});
+    node.tries.clear();
+    node.hosted.clear();
+    node.kept.clear();
+    for (const HostCallId id : node.running)
+        node.calls.erase(id);
+    node.running.clear();
+    node.calls.clear();
+    at(RESTART, [this, index] { startNode(index); });
+}
+
+bool FleetModel::connected(std::size_t a, std::size_t b) const
+{
+    const bool cut = m_cut && (m_nodes[a].centre == *m_cut) != (m_nodes[b].centre == *m_cut);
+    return m_nodes[a].up && m_nodes[b].up && !cut;
+}
+
+void FleetModel::send(std::size_t from, std::size_t to, std::function<void()> deliver)
+{
+    m_report.messages++;
+    if (m_nodes[from].centre != m_nodes[to].centre)
+        m_report.cross++;
+    const std::uint64_t lives = m_nodes[from].record.incarnation + m_nodes[to].record.incarnation;
+    at({1}, [this, from, to, lives, deliver = std::move(deliver)] {
+        if (connected(from, to)
+            && lives == m_nodes[from].record.incarnation + m_nodes[to].record.incarnation)
+            deliver();
+    });
+}
+
+/** Opens and loses links as the shell does: lost after silence, open again when reachable. */
+void FleetModel::links(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        if (i == index)
+            continue;
+        const bool reachable = connected(index, i);
+        if (node.lost.count(i) != 0 && reachable) {
+            node.lost.erase(i);
+            node.table->learn(m_nodes[i].record, true);
+            Peer &peer = *node.table->find(m_nodes[i].record.name);
+            std::uint64_t &known = node.known[i];
+            const bool restarted = known != 0 && known != m_nodes[i].record.incarnation;
+            known = m_nodes[i].record.incarnation;
+            peer.linked = true;
+            peer.linkedAt = m_now;
+            peer.heardAt = m_now;
+            peer.load = m_nodes[i].gate->load(m_now);
+            peer.version = m_nodes[i].spread->version();
+            perform(index, node.dispatcher->linkOpened(m_nodes[i].record.name, restarted, m_now));
+        } else if (node.lost.count(i) == 0 && !reachable) {
+            Peer *peer = node.table->find(m_nodes[i].record.name);
+            if (peer == nullptr || m_now - peer->heardAt < SILENCE)
+                continue;
+            node.lost.insert(i);
+            peer->linked = false;
+            perform(index, node.dispatcher->linkLost(m_nodes[i].record.name, m_now));
+        }
+    }
+}
+
+void FleetModel::tick(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    links(index);
+    node.budget->setDaemons(node.table->soundCount(m_now));
+    carryOut(index, node.gate->tick(m_now));
+    perform(index, node.spread->tick(m_now));
+    tellState(index);
+    const std::uint64_t life = node.record.incarnation;
+    at(TICK, [this, index, life] {
+        if (m_nodes[index].up && m_nodes[index].record.incarnation == life)
+            tick(index);
+    });
+}
+
+void FleetModel::tellState(std::size_t index)
+{
+    const HostLoad load = m_nodes[index].gate->load(m_now);
+    const Revision version = m_nodes[index].spread->version();
+    const Duration age = m_nodes[index].spread->storeAge(m_now);
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        if (i == index || m_nodes[i].lost.count(index) != 0)
+            continue;
+        send(index, i, [this, index, i, load, version, age] {
+            Peer *peer = m_nodes[i].table->find(m_nodes[index].record.name);
+            if (peer == nullptr)
+                return;
+            peer->heardAt = m_now;
+            peer->load = load;
+            peer->sentWhenTold = peer->sent;
+            peer->version = version;
+            peer->storeAge = age;
+        });
+    }
+}
+
+void FleetModel::report(std::size_t index, bool draining)
+{
+    Node &node = m_nodes[index];
+    if (node.server.up) {
+        ServerReport report;
+        report.instance = node.server.instance;
+        report.service = ServiceName("desk");
+        report.slots = m_options.slots;
+        report.draining = draining;
+        report.born = node.server.starts + 1;
+        report.sequence = static_cast<std::uint64_t>(m_now.ms);
+        if (draining)
+            node.server.leftAt = std::min(node.server.leftAt, m_now);
+        carryOut(index, node.gate->report(report, m_now));
+    }
+    const std::uint64_t life = node.record.incarnation;
+    at(REPORT, [this, index, life] {
+        if (m_nodes[index].up && m_nodes[index].record.incarnation == life)
+            report(index, m_nodes[index].server.leaving);
+    });
+}
+
+void FleetModel::arrival(std::size_t centre)
+{
+    (void)centre;
+    static const Kind KINDS[]
+        = {{"lookup", true, 160, 500, 1200, 2}, {"commit", false, 210, 600, 1500, 1}};
+    const Kind &kind = KINDS[m_random.chance(300) ? 1 : 0];
+    Wish wish;
+    wish.kind = &kind;
+    wish.asked = m_now;
+    // A normal draw by the sum of uniform ones, the same on every machine.
+    double sum = -6;
+    for (int i = 0; i < 12; i++)
+        sum += static_cast<double>(m_random.below(1000)) / 1000;
+    wish.work = kind.workMs * std::exp(SPREAD * sum - SPREAD * SPREAD / 2);
+    m_wishes.push_back(wish);
+    m_report.asked++;
+    begin(m_wishes.size() - 1);
+}
+
+void FleetModel::begin(std::size_t wishIndex)
+{
+    Wish &wish = m_wishes[wishIndex];
+    wish.tries++;
+    std::vector<std::size_t> near;
+    const std::size_t centre = wishIndex % m_options.centres;
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        if (m_nodes[i].up && m_nodes[i].centre == centre && m_nodes[i].spread->version() != 0)
+            near.push_back(i);
+    }
+    if (near.empty()) {
+        wish.ended = true;
+        m_report.failed++;
+        return;
+    }
+    const std::size_t index = near[m_random.below(near.size())];
+    Node &node = m_nodes[index];
+    const FlightId flight = ++m_lastFlight;
+    m_tries.push_back({wishIndex, index, 0, false, wish.asked + Duration{wish.kind->deadlineMs}});
+    node.tries[flight] = m_tries.size() - 1;
+    auto route = std::make_shared<Route>(m_document.routes[0]);
+    route->name = wish.kind->name;
+    route->idempotent = wish.kind->idempotent;
+    route->priority = wish.kind->priority;
+    route->attemptsMax = 2;
+    FlightPlan plan;
+    plan.route = route;
+    plan.service = ServiceName("desk");
+    plan.fingerprint = wishIndex;
+    plan.deadline = plan.callerDeadline = m_tries.back().deadline;
+    plan.goal = wish.asked + Duration{wish.kind->goalMs};
+    plan.returning = wish.tries > 1;
+    at(plan.deadline - m_now, [this, index, flight] {
+        if (m_nodes[index].tries.count(flight) != 0)
+            perform(index, m_nodes[index].dispatcher->timedOut(flight, m_now));
+    });
+    perform(index, node.dispatcher->begin(flight, plan, m_now));
+    const Duration hedge = node.dispatcher->hedgeDelay(flight, m_now);
+    if (hedge.ms > 0)
+        at(hedge, [this, index, flight] {
+            if (m_nodes[index].tries.count(flight) != 0)
+                perform(index, m_nodes[index].dispatcher->hedge(flight, m_now));
+        });
+}
+
+void FleetModel::perform(std::size_t index, const DispatchActions &actions)
+{
+    for (const DispatchAction &action : actions) {
+        if (const auto *sent = std::get_if<SendOffer>(&action)) {
+            const auto to = indexOf(sent->daemon);
+            if (*to == index)
+                offer(index, index, *sent);
+            else
+                send(index, *to, [this, index, to = *to, copy = *sent] { offer(index, to, copy); });
+        } else if (const auto *cancel = std::get_if<CancelOffer>(&action)) {
+            const auto to = indexOf(cancel->daemon);
+            at({1}, [this, index, to = *to, offerId = cancel->offer] {
+                Node &host = m_nodes[to];
+                const auto known = host.hosted.find({index, offerId});
+                if (known != host.hosted.end() && host.running.count(known->second) == 0
+                    && host.gate->withdraw(known->second)) {
+                    host.calls.erase(known->second);
+                    host.hosted.erase(known);
+                }
+            });
+        } else if (const auto *ask = std::get_if<AskOutcome>(&action)) {
+            const auto to = indexOf(ask->daemon);
+            send(index, *to, [this, index, to = *to, offerId = ask->offer] {
+                Node &host = m_nodes[to];
+                if (host.hosted.count({index, offerId}) != 0)
+                    return;
+                HostOutcome outcome;
+                outcome.reason = HostReason::Forgotten;
+                const auto kept = host.kept.find({index, offerId});
+                if (kept != host.kept.end())
+                    outcome = kept->second;
+                send(to, index, [this, index, offerId, outcome] {
+                    perform(index, m_nodes[index].dispatcher->ended(offerId, outcome, m_now));
+                });
+            });
+        } else if (const auto *pass = std::get_if<PassAnswer>(&action)) {
+            answered(index, pass->flight, pass->response.status, {0});
+        } else if (const auto *own = std::get_if<OwnAnswer>(&action)) {
+            answered(index, own->flight, own->status, own->retryAfter);
+        }
+    }
+}
+
+void FleetModel::offer(std::size_t from, std::size_t to, const SendOffer &action)
+{
+    Node &sender = m_nodes[from];
+    Node &host = m_nodes[to];
+    const auto found = sender.tries.find(action.flight);
+    const FlightPlan *plan = sender.dispatcher->plan(action.flight);
+    if (found == sender.tries.end() || plan == nullptr)
+        return;
+    const HostCallId id = ++host.lastCall;
+    LinkCall call;
+    call.offer = action.offer;
+    call.route = plan->route->name;
+    call.idempotent = plan->route->idempotent;
+    call.fingerprint = found->second;
+    HostCall hosted;
+    hosted.id = id;
+    hosted.route = call.route;
+    hosted.rank = action.rank;
+    hosted.deadline = plan->deadline;
+    hosted.goal = plan->goal;
+    hosted.instance = action.instance;
+    hosted.returning = plan->returning;
+    hosted.waitMax = action.waitMax;
+    host.hosted[{from, action.offer}] = id;
+    host.calls[id] = {from, call};
+    host.senders[id] = sender.record.incarnation;
+    carryOut(to, host.gate->offer(hosted, m_now));
+}
+
+void FleetModel::carryOut(std::size_t index, const HostDecisions &decisions)
+{
+    for (const HostDecision &decision : decisions) {
+        if (decision.verdict == HostVerdict::Start) {
+            startRun(index, decision.id);
+            continue;
+        }
+        HostOutcome outcome;
+        outcome.reason = decision.reason;
+        outcome.retryAfter = decision.retryAfter;
+        finish(index, decision.id, outcome);
+    }
+}
+
+void FleetModel::startRun(std::size_t index, HostCallId id)
+{
+    Node &host = m_nodes[index];
+    const auto found = host.calls.find(id);
+    if (found == host.calls.end())
+        return;
+    const Server &server = host.server;
+    if (!server.up) {
+        HostOutcome outcome;
+        outcome.reason = HostReason::ConnectFailed;
+        const HostDecisions more = host.gate->finished(id, HostFinish::Broken, {0}, m_now);
+        finish(index, id, outcome);
+        carryOut(index, host.gate->serverDown(m_now));
+        carryOut(index, more);
+        return;
+    }
+    if (m_now - server.leftAt > DRAIN)
+        broken("a request reached a server that had left");
+    Try &one = m_tries[found->second.second.fingerprint];
+    const Wish &wish = m_wishes[one.wish];
+    one.runs++;
+    m_report.runs++;
+    if (one.runs > 1)
+        m_report.repeats++;
+    if (!wish.kind->idempotent && one.runs > 1)
+        broken("a commitment was run twice");
+    if (!wish.kind->idempotent && one.promisedNotRun)
+        broken("a commitment ran after the promise that it does not");
+    host.running.insert(id);
+    const Duration work{static_cast<std::int64_t>(wish.work / server.speed * server.slow)};
+    const unsigned starts = server.starts;
+    const std::uint64_t life = host.record.incarnation;
+    const bool lost
+        = m_loseAnswers && m_random.chance(static_cast<std::uint64_t>(CALLS_LOST * 1000));
+    at(work, [this, index, id, starts, life, lost] {
+        Node &node = m_nodes[index];
+        if (!node.up || node.record.incarnation != life || node.server.starts != starts)
+            return;
+        endRun(index, id, lost ? RunState::Unknown : RunState::Answered, 200);
+    });
+}
+
+void FleetModel::endRun(std::size_t index, HostCallId id, RunState state, int status)
+{
+    Node &host = m_nodes[index];
+    if (host.running.erase(id) == 0)
+        return;
+    HostOutcome outcome;
+    outcome.state = state;
+    outcome.handed = true;
+    outcome.response.status = status;
+    outcome.reason = state == RunState::Answered ? HostReason::None : HostReason::Broken;
+    outcome.work = {150};
+    const HostDecisions more = host.gate->finished(
+        id, state == RunState::Answered ? HostFinish::Served : HostFinish::Broken, {150}, m_now);
+    finish(index, id, outcome);
+    carryOut(index, more);
+}
+
+void FleetModel::finish(std::size_t index, HostCallId id, const HostOutcome &outcome)
+{
+    Node &host = m_nodes[index];
+    const auto found = host.calls.find(id);
+    if (found == host.calls.end())
+        return;
+    const std::size_t from = found->second.first;
+    const OfferId offerId = found->second.second.offer;
+    host.calls.erase(found);
+    host.hosted.erase({from, offerId});
+    const std::uint64_t sender = host.senders[id];
+    host.senders.erase(id);
+    if (sender != m_nodes[from].record.incarnation)
+        return;
+    host.kept[{from, offerId}] = outcome;
+    const auto deliver = [this, from, offerId, outcome] {
+        perform(from, m_nodes[from].dispatcher->ended(offerId, outcome, m_now));
+    };
+    if (from == index)
+        at({0}, deliver);
+    else
+        send(index, from, deliver);
+}
+
+void FleetModel::answered(std::size_t index, FlightId flight, int status, Duration retryAfter)
+{
+    Node &node = m_nodes[index];
+    const auto found = node.tries.find(flight);
+    if (found == node.tries.end())
+        return;
+    Try &one = m_tries[found->second];
+    Wish &wish = m_wishes[one.wish];
+    if (status != 0)
+        node.tries.erase(found);
+    if (wish.ended)
+        return;
+    if (m_now > one.deadline + ANSWER_SLACK)
+        broken("a request was answered after its deadline");
+    if (status == 503) {
+        one.promisedNotRun = true;
+        if (!wish.kind->idempotent && one.runs > 0)
+            broken("a commitment that ran was said not to have run");
+    }
+    if (status == 200) {
+        wish.ended = true;
+        const bool inGoal = m_now - wish.asked <= Duration{wish.kind->goalMs};
+        (inGoal ? m_report.inGoal : m_report.late)++;
+        return;
+    }
+    const bool again = wish.tries < TRIES_MAX && (wish.kind->idempotent || status == 503)
+                       && one.deadline - m_now > Duration{50};
+    if (!again) {
+        wish.ended = true;
+        m_report.failed++;
+        return;
+    }
+    const std::size_t wishIndex = one.wish;
+    at(retryAfter + Duration{16}, [this, wishIndex] { begin(wishIndex); });
+}
+
+void FleetModel::perform(std::size_t index, const SpreadActions &actions)
+{
+    const std::uint64_t life = m_nodes[index].record.incarnation;
+    const auto answer = [this, index, life](bool watch, Duration delay) {
+        at(delay, [this, index, life, watch] {
+            Node &node = m_nodes[index];
+            if (!node.up || node.record.incarnation != life)
+                return;
+            StoredRoutes routes;
+            routes.storeRevision = m_version;
+            RouteDocument document = m_document;
+            document.version = m_version;
+            routes.document = Result<RouteDocument>(document);
+            const bool cut = m_cut && node.centre == *m_cut;
+            const Result<StoredRoutes> result
+                = cut ? Result<StoredRoutes>(fail(ResultCode::PlatformUnknown, "cut off"))
+                      : Result<StoredRoutes>(routes);
+            perform(index, watch ? node.spread->watchAnswered(result, m_now)
+                                 : node.spread->readAnswered(result, m_now));
+        });
+    };
+    for (const SpreadAction &action : actions) {
+        if (std::holds_alternative<ReadRoutes>(action))
+            answer(false, {4});
+        else if (const auto *watch = std::get_if<WatchRoutes>(&action))
+            answer(true, watch->storeRevision < m_version ? Duration{4} : Duration{300});
+        else if (const auto *push = std::get_if<PushRoutes>(&action)) {
+            const auto to = indexOf(push->peer);
+            const ServerId from = m_nodes[index].record.name;
+            send(index, *to, [this, to = *to, from, update = push->update] {
+                perform(to, m_nodes[to].spread->received(from, update, m_now));
+            });
+        } else if (const auto *apply = std::get_if<ApplyRoutes>(&action)) {
+            Node &node = m_nodes[index];
+            if (apply->table->version() < node.seen)
+                broken("a daemon went back to an older version");
+            node.seen = apply->table->version();
+            if (node.seen == m_version && m_behind.erase(index) != 0 && m_behind.empty())
+                m_report.spreadMs = std::max(m_report.spreadMs, (m_now - m_changedAt).ms);
+            tellState(index);
+        }
+    }
+}
+
+void FleetModel::change()
+{
+    m_version += 1 + m_random.below(3);
+    m_changedAt = m_now;
+    m_behind.clear();
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        if (m_nodes[i].up)
+            m_behind.insert(i);
+    }
+}
+
+void FleetModel::crashServer(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    node.server.up = false;
+    node.server.starts++;
+    const std::set<HostCallId> running = node.running;
+    for (const HostCallId id : running)
+        endRun(index, id, RunState::Unknown, 0);
+    if (node.up)
+        carryOut(index, node.gate->serverDown(m_now));
+    at(seconds(3), [this, index] {
+        Node &back = m_nodes[index];
+        back.server.up = true;
+        back.server.leaving = false;
+        back.server.leftAt = NEVER;
+        back.server.instance += "n";
+    });
+}
+
+void FleetModel::replaceServer(std::size_t index)
+{
+    m_nodes[index].server.leaving = true;
+    if (m_nodes[index].up)
+        report(index, true);
+    at(DRAIN + seconds(1), [this, index] {
+        Node &node = m_nodes[index];
+        if (node.up)
+            carryOut(index, node.gate->leave(node.server.instance, node.server.starts + 1, m_now));
+        crashServer(index);
+    });
+}
+
+void FleetModel::disturb()
+{
+    const Duration third = m_options.length / 3;
+    const std::size_t some = std::max<std::size_t>(1, m_nodes.size() / 4);
+    switch (m_options.disturbance) {
+    case Disturbance::KillDaemons:
+        for (std::size_t i = 0; i < some; i++)
+            killNode((i * 3 + m_options.seed) % m_nodes.size());
+        break;
+    case Disturbance::CutCentre:
+        m_cut = m_options.seed % m_options.centres;
+        at(third, [this] { m_cut.reset(); });
+        break;
+    case Disturbance::SlowServers:
+        for (std::size_t i = 0; i < some; i++)
+            m_nodes[i].server.slow = 5;
+        at(third, [this] {
+            for (Node &node : m_nodes)
+                node.server.slow = 1;
+        });
+        break;
+    case Disturbance::CrashServer:
+        for (std::size_t i = 0; i < some; i++)
+            crashServer((i * 5 + m_options.seed) % m_nodes.size());
+        break;
+    case Disturbance::Leave:
+        for (std::size_t i = 0; i < some; i++)
+            at(seconds(static_cast<std::int64_t>(i)),
+               [this, i] { replaceServer((i * 2 + m_options.seed) % m_nodes.size()); });
+        break;
+    case Disturbance::Overload:
+        m_burst = 2 / m_options.load;
+        at(third, [this] { m_burst = 1; });
+        break;
+    case Disturbance::LoseAnswers:
+        m_loseAnswers = true;
+        at(third, [this] { m_loseAnswers = false; });
+        break;
+    case Disturbance::None:
+    case Disturbance::Count:
+        break;
+    }
+}
+
+/** Callers come at random: the pauses between them are exponential. */
+void FleetModel::nextArrival()
+{
+    if (m_now >= m_end)
+        return;
+    arrival(m_random.below(m_options.centres));
+    const double perMs
+        = m_options.load * m_burst * m_options.daemons * m_options.slots / MEAN_WORK_MS;
+    const double draw = (static_cast<double>(m_random.below(1000000)) + 0.5) / 1000000;
+    m_arrivalRest += -std::log(draw) / perMs;
+    const auto whole = static_cast<std::int64_t>(m_arrivalRest);
+    m_arrivalRest -= static_cast<double>(whole);
+    at({whole}, [this] { nextArrival(); });
+}
+
+ModelReport FleetModel::play()
+{
+    const auto steps = static_cast<std::int64_t>(m_options.length.ms);
+    const TimePoint start = m_now;
+    at(WARM_UP, [this] { nextArrival(); });
+    at(m_options.length / 3, [this] { disturb(); });
+    for (std::int64_t ms = 3000; ms < steps - 4000; ms += 2500)
+        at({ms}, [this] { change(); });
+    const TimePoint last = m_end + seconds(4);
+    while (!m_events.empty() && m_events.top().at <= last.ms) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = {event.at};
+        event.run();
+    }
+    const double requests = m_report.asked;
+    const double windows = std::max(1.0, static_cast<double>((m_end - start).ms) / 10000);
+    if (m_report.repeats > requests * BUDGET_RATIO + BUDGET_SLACK * windows)
+        broken("more repeats than the budget");
+    for (std::size_t i = 0; i < m_nodes.size(); i++) {
+        if (m_nodes[i].spread->version() != m_version)
+            broken("a daemon is behind at the end");
+    }
+    return m_report;
+}
+
+ModelReport playDay(const ModelOptions &options)
+{
+    FleetModel model(options);
+    return model.play();
+}
+
+} // namespace cornelwell
--- a/src/dispatch/server_choice.cpp
+++ b/src/dispatch/server_choice.cpp
@@ -51,6 +51,16 @@
     return options;
 }
 
+/** Moves a random choice of @p count options to the front and drops the others. */
+void draw(std::vector<Option> &options, std::size_t count, Random &random)
+{
+    if (options.size() <= count)
+        return;
+    for (std::size_t i = 0; i < count; i++)
+        std::swap(options[i], options[i + random.below(options.size() - i)]);
+    options.resize(count);
+}
+
 double meanWork(const std::vector<Option> &options, double fallback)
 {
     double sum = 0;
@@ -130,8 +140,15 @@
                                       const ChoiceRequest &request, const ChoiceOptions &options,
                                       TimePoint now, Random &random)
 {
-    const std::vector<Option> all = optionsFor(table, local, request, now);
-    const double fleetMean = meanWork(all, options.firstWorkMs);
+    std::vector<Option> near = optionsFor(table, local, request, now);
+    const double fleetMean = meanWork(near, options.firstWorkMs);
+    const auto border = std::stable_partition(near.begin(), near.end(),
+                                              [](const Option &option) { return !option.other; });
+    std::vector<Option> all(border, near.end());
+    near.erase(border, near.end());
+    draw(near, options.sampleNear, random);
+    draw(all, options.sampleFar, random);
+    all.insert(all.end(), near.begin(), near.end());
     std::optional<Candidate> best;
     std::optional<Candidate> second;
     for (const Option &option : all) {
--- a/src/dispatch/server_choice.h
+++ b/src/dispatch/server_choice.h
@@ -23,7 +23,10 @@
     double otherCentreLoss = 0.004;     ///< Lost when the call goes to another data centre.
     double otherCentreLossPerKb = 0.07; ///< Lost by each kilobyte that crosses.
     double doubtLoss = 0.5;             ///< Lost when the daemon beside the server is silent.
-    double jitter = 0.06;               ///< Spread that keeps daemons from choosing alike.
+    std::size_t sampleNear
+        = 5; ///< Servers of the own data centre that are compared, drawn at random;
+    std::size_t sampleFar = 4; ///< and of the others. All daemons would choose the same best one.
+    double jitter = 0.06;      ///< Spread that keeps daemons from choosing alike.
 };
 
 /** A server that may be chosen. */
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -293,10 +293,11 @@
     return true;
 }
 
-bool PeerLinks::sendAnswer(const ServerId &peer, const LinkMessage &message)
+bool PeerLinks::sendAnswer(const ServerId &peer, std::uint64_t incarnation,
+                           const LinkMessage &message)
 {
     const auto found = m_accepted.find(peer);
-    if (found == m_accepted.end())
+    if (found == m_accepted.end() || found->second->peer.incarnation != incarnation)
         return false;
     const auto link = found->second;
     link->send(encodeLinkMessage(message));
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -68,8 +68,14 @@
     void tellState();
     /** Sends on the link that this daemon opened. @return false when it is not up. */
     bool sendRequest(const ServerId &peer, const LinkMessage &message);
-    /** Sends on the link that the peer opened. @return false when there is none. */
-    bool sendAnswer(const ServerId &peer, const LinkMessage &message);
+    /**
+     * Sends on the link that the peer opened.
+     * @param peer The peer.
+     * @param incarnation Start of the peer that is meant: offers of an earlier start are not known to it.
+     * @param message The message.
+     * @return false when there is no such link.
+     */
+    bool sendAnswer(const ServerId &peer, std::uint64_t incarnation, const LinkMessage &message);
     /** Sends on all links that this daemon opened. */
     void sendToAll(const LinkMessage &message);
     /** @return links that this daemon opened and that are up. */
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -11,7 +11,8 @@
         perform(m_dispatcher.ended(origin.offer, outcome, m_loop.now()));
         return;
     }
-    m_links.sendAnswer(origin.daemon, LinkResult{origin.offer, outcome, m_desk.load()});
+    m_links.sendAnswer(origin.daemon, origin.incarnation,
+                       LinkResult{origin.offer, outcome, m_desk.load()});
 }
 
 void ProxyNode::hostChanged()
@@ -164,7 +165,8 @@
         m_desk.cancel(origin(cancel->offer), cancel->onlyWaiting);
     } else if (const auto *ask = std::get_if<LinkAsk>(&message)) {
         if (const auto outcome = m_desk.ask(origin(ask->offer)))
-            m_links.sendAnswer(peer.name, LinkResult{ask->offer, *outcome, m_desk.load()});
+            m_links.sendAnswer(peer.name, peer.incarnation,
+                               LinkResult{ask->offer, *outcome, m_desk.load()});
     } else if (const auto *routes = std::get_if<LinkRoutes>(&message)) {
         perform(m_spread.received(peer.name, routes->update, m_loop.now()));
     } else if (const auto *crash = std::get_if<LinkCrash>(&message)) {
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -118,6 +118,26 @@
     CHECK(asker.downs == 0);
 }
 
+TEST_CASE("an answer for an earlier start of a daemon is not given to the later one", "[node]")
+{
+    EventLoop loop;
+    PeerTable askerTable(record("asker", 47313), PeerOptions());
+    PeerTable hostTable(record("host", 47314), PeerOptions());
+    Listener asker("asker");
+    Listener host("host");
+    PeerLinks from(loop, askerTable, asker, PeerLinkOptions());
+    PeerLinks to(loop, hostTable, host, PeerLinkOptions());
+    REQUIRE(to.listen());
+    askerTable.learn(record("host", 47314), true);
+    from.tick();
+    loop.after({200}, [&] {
+        CHECK(to.sendAnswer(ServerId("asker"), 1, LinkResult()));
+        CHECK_FALSE(to.sendAnswer(ServerId("asker"), 7, LinkResult()));
+        loop.stop();
+    });
+    loop.run();
+}
+
 TEST_CASE("the decision log is bounded, and failures go before what went well", "[log]")
 {
     ManualClock clock;
--- /dev/null
+++ b/tests/sim_test.cpp
@@ -0,0 +1,37 @@
+/** @file sim_test.cpp A short fixed set of modelled days: every promise holds under each
+ * disturbance. */
+#include "model_type.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelwell;
+
+TEST_CASE("every promise holds on modelled days of each disturbance", "[sim]")
+{
+    for (unsigned i = 0; i < static_cast<unsigned>(Disturbance::Count); i++) {
+        for (std::uint64_t seed = 1; seed <= 3; seed++) {
+            ModelOptions options;
+            options.seed = seed;
+            options.disturbance = static_cast<Disturbance>(i);
+            options.length = seconds(15);
+            const ModelReport report = playDay(options);
+            INFO(disturbanceName(options.disturbance) << " seed " << seed);
+            for (const std::string &broken : report.broken)
+                CHECK(broken == "");
+            CHECK(report.asked > 1000);
+            CHECK(report.inGoal + report.late > report.asked / 2);
+        }
+    }
+}
+
+TEST_CASE("a calm modelled day is served in time, the same each time", "[sim]")
+{
+    ModelOptions options;
+    const ModelReport once = playDay(options);
+    const ModelReport again = playDay(options);
+    CHECK(once.inGoal == again.inGoal);
+    CHECK(once.messages == again.messages);
+    CHECK(once.inGoal > once.asked * 93 / 100);
+    CHECK(once.failed * 200 < once.asked);
+    CHECK(once.spreadMs < 2000);
+}
