Feature: node: links of a large fleet are bounded by service and data centre

Change: at most 48 links for each service of the own data centre and 8 for each of the others, by rendezvous hashing; crash reports are passed on when not all daemons are linked; an unused message is gone.

--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -24,7 +24,6 @@
     Result,
     Routes,
     Crash,
-    Members,
     Count,
 };
 static_assert(std::variant_size_v<LinkMessage> == static_cast<std::size_t>(Kind::Count),
@@ -244,13 +243,6 @@
         return {Kind::Crash,       m.report.fingerprint,  m.report.server.text(),
                 m.report.sequence, m.report.entry.text(), m.report.age.ms};
     }
-    Json operator()(const LinkMembers &m) const
-    {
-        Json list = Json::array();
-        for (const DaemonRecord &record : m.daemons)
-            list.push_back(toJson(record));
-        return {Kind::Members, list};
-    }
 };
 
 LinkCall callOf(const Json &list)
@@ -320,12 +312,6 @@
         return LinkCrash{{list.at(1).get<std::uint64_t>(), ServerId(list.at(2).get<std::string>()),
                           list.at(3).get<std::uint64_t>(), EntryName(list.at(4).get<std::string>()),
                           Duration{list.at(5).get<std::int64_t>()}}};
-    case Kind::Members: {
-        LinkMembers m;
-        for (const Json &item : list.at(1))
-            m.daemons.push_back(recordOf(item));
-        return m;
-    }
     case Kind::Count:
         break;
     }
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -79,14 +79,9 @@
 {
     CrashReport report; ///< Which, and where.
 };
-/** Daemons that the sender knows. */
-struct LinkMembers
-{
-    std::vector<DaemonRecord> daemons; ///< All of them.
-};
 
 /** A message. */
 using LinkMessage = std::variant<LinkHello, LinkState, LinkCall, LinkCancel, LinkAsk, LinkResult,
-                                 LinkRoutes, LinkCrash, LinkMembers>;
+                                 LinkRoutes, LinkCrash>;
 
 } // namespace cornelwell
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -4,6 +4,7 @@
 #include "base/hash_func.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace cornelwell {
 
@@ -213,20 +214,24 @@
     return success();
 }
 
+/** All daemons of a small fleet; of a large one, for each service some of each data centre by
+ * rendezvous hashing, so that the daemons do not all link to the same ones. */
 std::set<ServerId> PeerLinks::wanted() const
 {
-    std::vector<std::pair<std::uint64_t, ServerId>> order;
+    using Ranked = std::vector<std::pair<std::uint64_t, ServerId>>;
+    std::map<std::pair<bool, ServiceName>, Ranked> groups;
     for (const auto &[name, peer] : m_table.peers()) {
         const bool near = peer.record.dataCentre == m_table.self().dataCentre;
-        const std::uint64_t weight = rendezvousWeight(name.text(), m_table.self().name.text());
-        order.emplace_back(near ? weight / 2 : weight / 2 + (UINT64_MAX / 2), name);
+        groups[{near, peer.record.service}].emplace_back(
+            rendezvousWeight(name.text(), m_table.self().name.text()), name);
     }
-    std::sort(order.begin(), order.end());
-    if (order.size() > m_options.linksMax)
-        order.resize(m_options.linksMax);
     std::set<ServerId> names;
-    for (const auto &[weight, name] : order)
-        names.insert(name);
+    for (auto &[group, ranked] : groups) {
+        const std::size_t most = group.first ? m_options.nearMax : m_options.farMax;
+        std::sort(ranked.begin(), ranked.end(), std::greater<>());
+        for (std::size_t i = 0; i < std::min(most, ranked.size()); i++)
+            names.insert(ranked[i].second);
+    }
     return names;
 }
 
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -40,7 +40,7 @@
 /** Timeouts of links. */
 struct PeerLinkOptions
 {
-    Duration heartbeat = {400};    ///< Pause between states told inside the data centre.
+    Duration heartbeat = {400};     ///< Pause between states told inside the data centre.
     Duration farHeartbeat = {1200}; ///< The same to other data centres, where bytes cost.
     Duration silence
         = {1700}; ///< A link silent for this long is closed; twice that to other data centres.
@@ -49,7 +49,8 @@
     Duration retryMax = {1500};   ///< Longest pause.
     Duration goneAfter = {15000}; ///< A peer out of reach for this long is tried rarely.
     Duration goneRetry = {6000};  ///< Pause between these tries.
-    std::size_t linksMax = 96;    ///< Links that are opened; with more peers, the nearest by hash.
+    std::size_t nearMax = 48; ///< Links opened to daemons of one service in the own data centre,
+    std::size_t farMax = 8;   ///< and in all others.
 };
 
 /** Opens, keeps and closes links. */
@@ -71,7 +72,8 @@
     /**
      * Sends on the link that the peer opened.
      * @param peer The peer.
-     * @param incarnation Start of the peer that is meant: offers of an earlier start are not known to it.
+     * @param incarnation Start of the peer that is meant: offers of an earlier start are not known
+     * to it.
      * @param message The message.
      * @return false when there is no such link.
      */
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -28,7 +28,6 @@
     report.sequence = m_settings.self.incarnation + ++m_lastCrash;
     report.entry = EntryName(route);
     takeCrash(report);
-    m_links.sendToAll(LinkCrash{report});
 }
 
 void ProxyNode::takeCrash(const CrashReport &report)
@@ -38,6 +37,10 @@
         return;
     const std::vector<std::uint64_t> refused = m_quarantine.quarantined(now);
     m_quarantined = {refused.begin(), refused.end()};
+    // In a large fleet not all daemons are linked: each tells on what is new to it.
+    const bool own = report.server == m_settings.self.name;
+    if (own || m_links.linksUp() < m_peers.peers().size())
+        m_links.sendToAll(LinkCrash{report});
     m_log.belief("crash", [&](LogFields &fields) {
         fields.add("fingerprint", report.fingerprint);
         fields.add("server", report.server.text());
