Fix: exchange: bodies are read by a strict reader; tests that a silent server is found; more broken decisions

Ruled out: our own skipping of empty lines, unfinished requests (no longer compared). Change: the library reads the header, exchange/body_reader the body: counted, chunks without trailers, or until the end.

--- a/src/exchange/answer_reader.h
+++ b/src/exchange/answer_reader.h
@@ -1,6 +1,7 @@
 /** @file answer_reader.h Answers out of the bytes of a connection to a server. */
 #pragma once
 
+#include "exchange/body_reader.h"
 #include "http/http_type.h"
 
 #include <memory>
@@ -45,8 +46,12 @@
     struct Parser;
 
     void begin();
+    AnswerStep readHeader();
+    AnswerStep readBody();
 
     std::string m_buffer;
+    BodyReader m_body;
+    bool m_whole = false;
     std::string m_method;
     std::unique_ptr<Parser> m_parser;
     bool m_begun = false;
--- /dev/null
+++ b/src/exchange/body_reader.cpp
@@ -0,0 +1,119 @@
+/** @file body_reader.cpp Strict framing of bodies. */
+#include "exchange/body_reader.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr std::size_t LINE_MAX_BYTES = 256; ///< Longest line of a chunk's size.
+constexpr std::size_t SIZE_DIGITS_MAX = 8;  ///< Hexadecimal digits of a chunk's size.
+constexpr unsigned HEX_BASE = 16;
+
+/** @return the size that a chunk's line names. */
+std::optional<std::uint64_t> chunkSize(const std::string &line)
+{
+    std::size_t digits = 0;
+    std::uint64_t size = 0;
+    while (digits < line.size() && std::isxdigit(static_cast<unsigned char>(line[digits])) != 0) {
+        const char c = line[digits++];
+        const int value = c <= '9' ? c - '0' : (c | 0x20) - 'a' + 10;
+        size = size * HEX_BASE + static_cast<unsigned>(value);
+    }
+    if (digits == 0 || digits > SIZE_DIGITS_MAX || (digits < line.size() && line[digits] != ';'))
+        return std::nullopt;
+    return size;
+}
+
+} // namespace
+
+void BodyReader::beginCounted(std::uint64_t length, std::size_t limit)
+{
+    *this = {};
+    m_left = length;
+    m_limit = limit;
+}
+
+void BodyReader::beginChunked(std::size_t limit)
+{
+    *this = {};
+    m_framing = Framing::Chunked;
+    m_limit = limit;
+}
+
+void BodyReader::beginUnframed(std::size_t limit)
+{
+    *this = {};
+    m_framing = Framing::Unframed;
+    m_left = UINT64_MAX;
+    m_limit = limit;
+}
+
+BodyStep BodyReader::take(std::string &buffer)
+{
+    if (m_framing != Framing::Chunked)
+        return m_framing == Framing::Counted && m_left > m_limit ? BodyStep::TooLarge
+                                                                 : takeBytes(buffer);
+    BodyStep step = BodyStep::Complete;
+    while (step == BodyStep::Complete && !m_last)
+        step = takeChunk(buffer);
+    return step;
+}
+
+BodyStep BodyReader::takeBytes(std::string &buffer)
+{
+    const auto count = static_cast<std::size_t>(std::min<std::uint64_t>(m_left, buffer.size()));
+    if (m_body.size() + count > m_limit)
+        return BodyStep::TooLarge;
+    m_body.append(buffer, 0, count);
+    buffer.erase(0, count);
+    m_left -= count;
+    return m_left == 0 ? BodyStep::Complete : BodyStep::NeedMore;
+}
+
+/** @return a step when the line is not whole or broken; nothing when @p line holds it. */
+std::optional<BodyStep> BodyReader::takeLine(std::string &buffer, std::string &line)
+{
+    const std::size_t end = buffer.find('\n');
+    if (end == std::string::npos)
+        return buffer.size() > LINE_MAX_BYTES ? BodyStep::Broken : BodyStep::NeedMore;
+    if (end == 0 || end > LINE_MAX_BYTES || buffer[end - 1] != '\r')
+        return BodyStep::Broken;
+    line = buffer.substr(0, end - 1);
+    buffer.erase(0, end + 1);
+    return std::nullopt;
+}
+
+/** Takes one part of a chunk: its size, its bytes, or the line end behind them. */
+BodyStep BodyReader::takeChunk(std::string &buffer)
+{
+    if (m_inChunk) {
+        const BodyStep step = takeBytes(buffer);
+        if (step == BodyStep::Complete) {
+            m_inChunk = false;
+            m_afterChunk = true;
+        }
+        return step;
+    }
+    std::string line;
+    if (const auto step = takeLine(buffer, line))
+        return *step;
+    if (m_afterChunk) {
+        m_last = m_left == UINT64_MAX;
+        m_afterChunk = false;
+        return line.empty() ? BodyStep::Complete : BodyStep::Broken;
+    }
+    const auto size = chunkSize(line);
+    if (!size)
+        return BodyStep::Broken;
+    if (m_body.size() + *size > m_limit)
+        return BodyStep::TooLarge;
+    m_left = *size == 0 ? UINT64_MAX : *size;
+    m_inChunk = *size != 0;
+    m_afterChunk = *size == 0;
+    return BodyStep::Complete;
+}
+
+} // namespace cornelwell
--- a/src/exchange/request_reader.cpp
+++ b/src/exchange/request_reader.cpp
@@ -56,8 +56,10 @@
     m_parser = std::make_unique<Parser>();
     m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-    m_parser->body_limit(m_limits.bodyBytes);
+    // Only the header is the library's: its reading of trailers depends on how the bytes are cut.
+    m_parser->skip(true);
     m_begun = false;
+    m_whole = false;
     m_continueAsked = false;
 }
 
@@ -71,41 +73,63 @@
 {
     if (m_refusal != 0)
         return ReadStep::Failed;
+    if (m_whole)
+        return ReadStep::Complete;
     // Empty lines before a request are allowed by the protocol.
     while (!m_begun && m_buffer.compare(0, 2, "\r\n") == 0)
         m_buffer.erase(0, 2);
-    while (!m_parser->is_done()) {
-        if (m_buffer.empty())
-            return ReadStep::NeedMore;
-        if (!m_begun) {
-            begin();
-            m_begun = true;
-        }
-        beast::error_code error;
-        const std::size_t used
-            = m_parser->put(boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
-        m_buffer.erase(0, used);
-        if (error == beast::http::error::need_more) {
-            if (!m_parser->is_header_done() && m_buffer.size() > m_limits.headerBytes)
-                return refuse(HEADER_TOO_LARGE);
-            return ReadStep::NeedMore;
-        }
-        if (error == beast::http::error::header_limit)
-            return refuse(HEADER_TOO_LARGE);
-        if (error == beast::http::error::body_limit)
-            return refuse(TOO_LARGE);
-        if (error)
-            return refuse(BAD_REQUEST);
-        if (m_parser->is_header_done()
-            && (!framingIsPlain(m_parser->get().base())
-                || !targetIsPlain(m_parser->get().target())))
-            return refuse(BAD_REQUEST);
-        if (used == 0 && !m_parser->is_done())
-            return ReadStep::NeedMore;
+    if (!m_parser->is_header_done()) {
+        const ReadStep step = readHeader();
+        if (step != ReadStep::Complete)
+            return step;
     }
+    return readBody();
+}
+
+ReadStep RequestReader::readHeader()
+{
+    if (m_buffer.empty())
+        return ReadStep::NeedMore;
+    if (!m_begun)
+        begin();
+    m_begun = true;
+    beast::error_code error;
+    const std::size_t used
+        = m_parser->put(boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
+    m_buffer.erase(0, used);
+    if (error == beast::http::error::header_limit)
+        return refuse(HEADER_TOO_LARGE);
+    if (error && error != beast::http::error::need_more)
+        return refuse(BAD_REQUEST);
+    if (!m_parser->is_header_done())
+        return m_buffer.size() > m_limits.headerBytes ? refuse(HEADER_TOO_LARGE)
+                                                      : ReadStep::NeedMore;
+    const auto &header = m_parser->get();
+    if (!framingIsPlain(header.base()) || !targetIsPlain(header.target()))
+        return refuse(BAD_REQUEST);
+    if (header.count(beast::http::field::transfer_encoding) != 0)
+        m_body.beginChunked(m_limits.bodyBytes);
+    else
+        m_body.beginCounted(m_parser->content_length().value_or(0), m_limits.bodyBytes);
     return ReadStep::Complete;
 }
 
+ReadStep RequestReader::readBody()
+{
+    switch (m_body.take(m_buffer)) {
+    case BodyStep::NeedMore:
+        return ReadStep::NeedMore;
+    case BodyStep::Complete:
+        m_whole = true;
+        return ReadStep::Complete;
+    case BodyStep::TooLarge:
+        return refuse(TOO_LARGE);
+    case BodyStep::Broken:
+        break;
+    }
+    return refuse(BAD_REQUEST);
+}
+
 bool RequestReader::headerDone() const
 {
     return m_begun && m_parser->is_header_done();
@@ -113,7 +137,7 @@
 
 bool RequestReader::wantsContinue()
 {
-    if (m_continueAsked || !headerDone() || m_parser->is_done())
+    if (m_continueAsked || !headerDone() || m_whole)
         return false;
     const bool wants = beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue");
     m_continueAsked = wants;
@@ -129,7 +153,7 @@
     whole.request.path = std::string(message.target());
     for (const auto &field : message.base())
         whole.request.headers.add(std::string(field.name_string()), std::string(field.value()));
-    whole.request.body = std::move(message.body());
+    whole.request.body = std::move(m_body.body());
     begin();
     return whole;
 }
--- a/src/exchange/request_reader.h
+++ b/src/exchange/request_reader.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "exchange/body_reader.h"
 #include "http/http_type.h"
 
 #include <cstddef>
@@ -65,13 +66,17 @@
     struct Parser;
 
     void begin();
+    ReadStep readHeader();
+    ReadStep readBody();
     ReadStep refuse(unsigned status);
 
     RequestLimits m_limits;
     std::string m_buffer;
     std::unique_ptr<Parser> m_parser;
+    BodyReader m_body;
     unsigned m_refusal = 0;
     bool m_begun = false;
+    bool m_whole = false;
     bool m_continueAsked = false;
 };
 
--- /dev/null
+++ b/src/node/tests/host_desk_test.cpp
@@ -0,0 +1,140 @@
+/** @file host_desk_test.cpp Calls beside a server that falls silent, and outcomes kept for senders.
+ */
+#include "node/host_desk.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+
+using namespace cornelwell;
+
+namespace {
+
+const CallFields FIELDS
+    = {"Id", "Deadline", "Instance", "Not-Run", "Seal", "Caller", "Retry-After"};
+
+/** A port that takes one connection and then, like a VM that is gone, answers nothing at all. */
+class DarkServer
+{
+public:
+    DarkServer() : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        REQUIRE(::bind(m_socket, reinterpret_cast<sockaddr *>(&address), size) == 0);
+        REQUIRE(::listen(m_socket, 0) == 0);
+        REQUIRE(::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size) == 0);
+        m_port = ntohs(address.sin_port);
+    }
+    ~DarkServer() { ::close(m_socket); }
+    DarkServer(const DarkServer &) = delete;
+    DarkServer &operator=(const DarkServer &) = delete;
+
+    Endpoint endpoint() const { return {"127.0.0.1", m_port}; }
+
+private:
+    int m_socket;
+    std::uint16_t m_port = 0;
+};
+
+struct Listener : HostDeskListener
+{
+    void callEnded(const CallOrigin &origin, const HostOutcome &outcome) override
+    {
+        outcomes[origin.offer] = outcome;
+    }
+    void hostChanged() override { changes++; }
+    void requestCrashed(std::uint64_t, const std::string &) override {}
+
+    std::map<OfferId, HostOutcome> outcomes;
+    int changes = 0;
+};
+
+struct Fixture
+{
+    Fixture() { log.setIdentity("vm", "east"); }
+
+    void report(const Endpoint &address)
+    {
+        ServerReport report;
+        report.instance = "i";
+        report.service = ServiceName("desk");
+        report.address = address;
+        report.slots = 4;
+        report.sequence = 1;
+        report.born = 1;
+        desk.report(report);
+    }
+
+    static LinkCall call(OfferId offer, bool idempotent)
+    {
+        LinkCall one;
+        one.offer = offer;
+        one.request.method = "GET";
+        one.request.path = "/";
+        one.requestId = "r";
+        one.route = "r";
+        one.timeLeft = {20000};
+        one.goalLeft = {20000};
+        one.idempotent = idempotent;
+        return one;
+    }
+
+    /** Ticks until the condition holds, or for some seconds. */
+    void runUntil(const std::function<bool()> &done)
+    {
+        int left = 100;
+        std::function<void()> tick = [&] {
+            desk.tick();
+            if (done() || --left == 0)
+                loop.stop();
+            else
+                loop.after({50}, tick);
+        };
+        tick();
+        loop.run();
+    }
+
+    EventLoop loop;
+    DecisionLog log{loop.clock(), {DecisionLogLevel::Off, 1, 0, 1}};
+    Listener listener;
+    HostDesk desk{loop, FIELDS, listener, log};
+};
+
+} // namespace
+
+TEST_CASE("a server that falls silent is found before its calls time out", "[node]")
+{
+    DarkServer server;
+    Fixture fixture;
+    fixture.report(server.endpoint());
+    fixture.desk.offer({ServerId("a"), 1, 7}, Fixture::call(7, true));
+    fixture.runUntil([&] { return fixture.listener.outcomes.count(7) != 0; });
+    REQUIRE(fixture.listener.outcomes.count(7) != 0);
+    CHECK(fixture.listener.outcomes[7].state == RunState::Unknown);
+    CHECK(fixture.desk.load().state == HostState::Down);
+}
+
+TEST_CASE("a sender whose link broke learns how its calls ended", "[node]")
+{
+    DarkServer server;
+    Fixture fixture;
+    const CallOrigin commit{ServerId("a"), 1, 8};
+    const CallOrigin lookup{ServerId("a"), 1, 9};
+    CHECK(fixture.desk.ask(commit)->reason == HostReason::Forgotten);
+    fixture.report(server.endpoint());
+    fixture.desk.offer(commit, Fixture::call(8, false));
+    fixture.desk.offer(lookup, Fixture::call(9, true));
+    fixture.desk.senderLost(ServerId("a"), 1);
+    CHECK_FALSE(fixture.desk.ask(commit).has_value());
+    CHECK(fixture.desk.ask(lookup)->reason == HostReason::Forgotten);
+    fixture.runUntil([&] { return fixture.listener.outcomes.count(8) != 0; });
+    REQUIRE(fixture.desk.ask(commit).has_value());
+    CHECK(fixture.desk.ask(commit)->state == RunState::Unknown);
+}
--- a/src/spread/tests/spread_test.cpp
+++ b/src/spread/tests/spread_test.cpp
@@ -83,6 +83,7 @@
     REQUIRE(find<RejectRoutes>(older));
     CHECK(find<RejectRoutes>(older)->error.code == ResultCode::VersionOlder);
     CHECK(fixture.spread.version() == 7);
+    CHECK_FALSE(find<ApplyRoutes>(fixture.spread.watchAnswered(stored(7, 7, 400), NOW)));
     const auto table = RouteTable::build(document(4)).value();
     CHECK(fixture.spread.received(ServerId("p"), routeUpdate(nullptr, *table), NOW).empty());
     const auto newer = RouteTable::build(document(8)).value();
