--- a/src/exchange/request_reader.cpp
+++ b/src/exchange/request_reader.cpp
@@ -78,6 +78,8 @@
     // Empty lines before a request are allowed by the protocol.
     while (!m_begun && m_buffer.compare(0, 2, "\r\n") == 0)
         m_buffer.erase(0, 2);
+    if (!m_begun && m_buffer == "\r")
+        return ReadStep::NeedMore;
     if (!m_parser->is_header_done()) {
         const ReadStep step = readHeader();
         if (step != ReadStep::Complete)
--- a/src/exchange/tests/exchange_test.cpp
+++ b/src/exchange/tests/exchange_test.cpp
@@ -41,7 +41,7 @@
     const std::string text = "GET /a/b?c=d HTTP/1.1\r\nHost: x\r\n\r\n"
                              "POST /p/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello"
                              "POST /q/ HTTP/1.1\r\nHost: y\r\nTransfer-Encoding: chunked\r\n\r\n"
-                             "3\r\nabc\r\n2;x=1\r\nde\r\n0\r\n\r\n"
+                             "3\r\nabc\r\n2;x=1\r\nde\r\n0\r\n\r\n\r\n"
                              "GET /last HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
     for (std::size_t split = 0; split <= text.size(); split++) {
         unsigned refusal = 0;
