Feature: cli: explain tells the story of one request out of the daemons' logs; dead parts of tried policies removed

Change: explain REQUEST LOG... merges the request's lines, its calls' and the beliefs around them; commands may take any number of words.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -74,6 +74,9 @@
      "cornelwell settings check examples/agence/thies-1-desk-1.json", runSettingsCheck},
     {"settings", "schema", "", 0, "", "Prints the keys of the settings as a Markdown table.",
      "cornelwell settings schema", runSettingsSchema},
+    {"explain", "", "REQUEST LOG...", 2, "",
+     "Tells the story of one request out of the logs of several daemons.",
+     "cornelwell explain 9c41d07be2a35f68 vm-1.log vm-2.log", runExplain},
     {"codes", "", "", 0, "output ", "Lists the numbered result codes.",
      "cornelwell codes --output json", runCodes},
     {"version", "", "", 0, "", "Prints the version.", "cornelwell version", runVersion},
@@ -173,8 +176,10 @@
         options.words = parsed["words"].as<std::vector<std::string>>();
     if (options.words.size() < row.wordsMin)
         return fail(ResultCode::UsageError, commandName(row) + " needs " + row.words);
-    const std::size_t wordsMax = *row.words == '\0' ? 0 : 1;
-    if (options.words.size() > wordsMax)
+    const std::string names = row.words;
+    const std::size_t wordsMax = names.empty() ? 0 : 1;
+    const bool anyNumber = names.find("...") != std::string::npos;
+    if (!anyNumber && options.words.size() > wordsMax)
         return fail(ResultCode::UsageError, "'" + options.words.back() + "' is one word too many");
     options.settings = text("settings");
     options.daemon = text("daemon");
--- a/src/cli/cli_internal.h
+++ b/src/cli/cli_internal.h
@@ -68,6 +68,7 @@
 int runSettingsCheck(const CommandOptions &options);  ///< `settings check`
 int runSettingsSchema(const CommandOptions &options); ///< `settings schema`
 int runCodes(const CommandOptions &options);          ///< `codes`
+int runExplain(const CommandOptions &options);        ///< `explain`
 int runVersion(const CommandOptions &options);        ///< `version`
 int runEntryPropose(const CommandOptions &options);   ///< `entry propose`
 int runEntryAmend(const CommandOptions &options);     ///< `entry amend`
--- a/src/cli/tests/cli_test.cpp
+++ b/src/cli/tests/cli_test.cpp
@@ -62,3 +62,34 @@
     CHECK(run.errors.find("at: /nonexistent") != std::string::npos);
     CHECK(run.errors.find("what to do:") != std::string::npos);
 }
+
+TEST_CASE("explain merges the lines of a request, of its calls, and the beliefs around it", "[cli]")
+{
+    const std::string first = "explain-a.log";
+    const std::string second = "explain-b.log";
+    std::ofstream(first)
+        << R"({"time_ms":1000,"daemon":"a","event":"routes","version":7})"
+        << "\n"
+        << R"({"time_ms":1500,"daemon":"a","event":"answered","request":"x1","status":503})"
+        << "\nnot a line\n"
+        << R"({"time_ms":1490,"daemon":"a","event":"answered","request":"x2","status":200})"
+        << "\n";
+    std::ofstream(second)
+        << R"(  1.5 b {"time_ms":1490,"daemon":"b","event":"hosted","request":"x1","reason":"full"})"
+        << "\n"
+        << R"({"time_ms":1495,"daemon":"b","event":"hosted","request":"x1.c1"})"
+        << "\n"
+        << R"({"time_ms":90000,"daemon":"b","event":"store_lost"})"
+        << "\n";
+    const Run found({"explain", "x1", first, second});
+    CHECK(found.code == EXIT_OK);
+    CHECK(found.output.find("reason=full") < found.output.find("status=503"));
+    CHECK(found.output.find("version=7") != std::string::npos);
+    CHECK(found.output.find("x1.c1") != std::string::npos);
+    CHECK(found.output.find("x2") == std::string::npos);
+    CHECK(found.output.find("store_lost") == std::string::npos);
+    CHECK(Run({"explain", "nobody", first}).code == EXIT_FAILED);
+    CHECK(Run({"explain", "x1", "no-such-file"}).code != EXIT_OK);
+    std::remove(first.c_str());
+    std::remove(second.c_str());
+}
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -260,8 +260,7 @@
     const bool answered = outcome.state == RunState::Answered;
     if (!answered)
         flight.unknown = true;
-    const bool quarantined = outcome.reason == HostReason::Crashed && flight.handed > 1;
-    if (flight.plan.route->idempotent && !quarantined && mayRepeat(flight, now)
+    if (flight.plan.route->idempotent && mayRepeat(flight, now)
         && m_budget.take(flight.plan.service, now)) {
         flight.offers = 0;
         flight.unknown = true;
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -16,7 +16,6 @@
     TimePoint linkedAt{0};     ///< Since when.
     TimePoint heardAt{0};      ///< Last message.
     HostLoad load;             ///< Load of the server beside it, as last told.
-    TimePoint loadAt{0};       ///< When that was told.
     unsigned sent = 0;         ///< Calls under way from this daemon to it.
     unsigned sentWhenTold = 0; ///< The same when the load was told.
     Revision version = 0;      ///< Version in force there, as last told.
--- a/src/hosting/host_gate.cpp
+++ b/src/hosting/host_gate.cpp
@@ -10,9 +10,6 @@
 
 constexpr double WORK_SMOOTHING = 0.1;   ///< Weight of a new measurement of work.
 constexpr double FAIL_SMOOTHING = 0.05;  ///< Weight of a new result.
-constexpr double SHARE_SMOOTHING = 0.03; ///< Weight of a new start in the shares of ranks.
-constexpr double SHARE_MAX = 0.0;        ///< However much goes before a rank, it is not hopeless.
-constexpr double WORK_MARGIN = 1.0;      ///< Times the usual work, for a call that is admitted.
 constexpr std::size_t LOOK_AHEAD = 32;   ///< Waiting calls of a rank that are compared.
 constexpr double AGE_FACTOR = 1.2;       ///< Mean time over mean age of running calls, about.
 constexpr std::size_t AGES_MIN = 4;      ///< Fewer running calls tell nothing.
@@ -26,8 +23,8 @@
                                         "too_late",       "no_server",   "server_draining",
                                         "daemon_leaving", "server_shed", "instance_changed",
                                         "connect_failed", "broken",      "garbled",
-                                        "crashed",        "link_lost",   "cancelled",
-                                        "quarantined",    "forgotten"};
+                                        "link_lost",      "cancelled",   "quarantined",
+                                        "forgotten"};
 static_assert(std::size(REASON_NAMES) == static_cast<std::size_t>(HostReason::Count),
               "a name for each reason");
 
@@ -159,14 +156,8 @@
     const std::size_t busy = m_running.size() + ahead + 1;
     if (busy <= m_server.slots || m_server.slots == 0)
         return {0};
-    // Calls of better ranks that are still to come will go before this one.
-    double better = 0;
-    for (const auto &[other, share] : m_rankShare) {
-        if (other < rank)
-            better += share;
-    }
     const double wait = static_cast<double>(busy - m_server.slots) * meanMs(now) / m_server.slots;
-    return {static_cast<std::int64_t>(wait / (1 - std::min(SHARE_MAX, better)))};
+    return {static_cast<std::int64_t>(wait)};
 }
 
 HostReason HostGate::refusal(HostCall &call, TimePoint now) const
@@ -188,7 +179,7 @@
         return HostReason::None;
     if (call.waitMax.ms >= 0 && wait > call.waitMax)
         return HostReason::Busier;
-    const Duration whole = wait + Duration{static_cast<std::int64_t>(work * WORK_MARGIN)};
+    const Duration whole = wait + Duration{static_cast<std::int64_t>(work)};
     if (m_queue.size() >= m_options.queueMax || now + whole > call.deadline)
         return HostReason::Full;
     // What came back too late for its goal fills gaps; it does not push out what is still in time.
@@ -223,13 +214,6 @@
     return first;
 }
 
-void HostGate::noteStart(unsigned rank)
-{
-    for (auto &[other, share] : m_rankShare)
-        share *= 1 - SHARE_SMOOTHING;
-    m_rankShare[rank] += SHARE_SMOOTHING;
-}
-
 HostDecisions HostGate::startWaiting(TimePoint now)
 {
     HostDecisions decisions;
@@ -242,7 +226,6 @@
             decisions.push_back(refuse(call.id, HostReason::TooLate, {0}));
             continue;
         }
-        noteStart(call.rank);
         decisions.push_back({call.id, HostVerdict::Start, HostReason::None, {0}});
         call.started = now;
         m_startedSum += now.ms;
--- a/src/hosting/host_gate.h
+++ b/src/hosting/host_gate.h
@@ -77,7 +77,6 @@
     Duration waitFor(unsigned rank, TimePoint now) const;
     double meanMs(TimePoint now) const;
     std::map<QueueKey, HostCall>::iterator nextWaiting(TimePoint now);
-    void noteStart(unsigned rank);
     HostReason refusal(HostCall &call, TimePoint now) const;
     HostDecision refuse(HostCallId id, HostReason reason, Duration wait) const;
 
@@ -91,7 +90,6 @@
     std::unordered_map<HostCallId, HostCall> m_running;
     std::int64_t m_startedSum = 0; ///< Sum of the times at which running calls were started.
     std::unordered_map<std::string, double> m_workMs; ///< Mean time by route.
-    std::map<unsigned, double> m_rankShare;           ///< Share of recent starts by rank.
     double m_meanMs = 0;
     double m_failShare = 0;
 };
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -31,7 +31,6 @@
     ConnectFailed,   ///< The server could not be reached.
     Broken,          ///< The connection broke after the request was sent.
     Garbled,         ///< The server's bytes were no answer to this request.
-    Crashed,         ///< The server ended while it had the request.
     LinkLost,        ///< The link between the daemons broke.
     Cancelled,       ///< The caller left.
     Quarantined,     ///< Requests like this one crashed servers.
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -55,6 +55,8 @@
         HttpRequest request;
         std::string requestId;
         std::string route;
+        std::uint64_t fingerprint = 0; ///< Hash of the request; 0 when it matched no route.
+        TimePoint goal{0};             ///< Of its first try.
         TimePoint began{0};
         TimerId timer = 0;
         TimerId hedgeTimer = 0;
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -129,6 +129,8 @@
     }
     flight.route = route->name;
     FlightPlan plan = planOf(session, request, *route);
+    flight.fingerprint = plan.fingerprint;
+    flight.goal = plan.goal;
     if (m_quarantined.count(plan.fingerprint) != 0) {
         answerOwn({id, UNAVAILABLE, HostReason::Quarantined, seconds(1)});
         return;
@@ -289,19 +291,10 @@
         fields.add("reason", hostReasonName(own.reason));
         fields.add("retry_after_ms", own.retryAfter.ms);
     });
-    if (own.status == UNAVAILABLE && own.reason != HostReason::Quarantined
-        && !found->second.request.method.empty()) {
-        const HttpRequest &request = found->second.request;
-        const std::uint64_t fingerprint
-            = hash64(request.method + ' ' + request.path + '\n' + request.body,
-                     hash64(m_settings.self.service.text()));
-        const RouteTablePtr table = m_spread.inForce();
-        const Route *route
-            = table ? table->match(request.headers.get("Host"), request.path) : nullptr;
-        if (route != nullptr)
-            m_returning.refused(fingerprint, found->second.began + route->goal,
-                                m_loop.now() + RETURN_WITHIN);
-    }
+    const bool mayReturn = own.status == UNAVAILABLE && own.reason != HostReason::Quarantined;
+    if (mayReturn && found->second.fingerprint != 0)
+        m_returning.refused(found->second.fingerprint, found->second.goal,
+                            m_loop.now() + RETURN_WITHIN);
     answer(own.flight, response);
 }
 
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -129,7 +129,6 @@
         peer->leftInstance = state.load.instance;
     else if (state.load.instance == peer->leftInstance)
         peer->leftInstance.clear();
-    peer->loadAt = now;
     peer->sentWhenTold = peer->sent;
     peer->storeAge = state.storeAge;
     peer->leaving = state.leaving;
@@ -150,7 +149,6 @@
     const TimePoint now = m_loop.now();
     if (Peer *peer = m_peers.find(name)) {
         peer->load = result.load;
-        peer->loadAt = now;
         peer->sentWhenTold = peer->sent > 0 ? peer->sent - 1 : 0;
     }
     perform(m_dispatcher.ended(result.offer, result.outcome, now));
