--- a/bench/distribution_command.cpp
+++ b/bench/distribution_command.cpp
@@ -1,6 +1,7 @@
 /** @file distribution_command.cpp `distribution`: convergence and cost of control, with and without
  * faults. */
 #include "bench_internal.h"
+#include "distribution_experiment_type.h"
 #include "fleet.h"
 #include "load.h"
 
@@ -35,44 +36,6 @@
 constexpr double OUTAGE_PART = 0.3;        ///< Part of the measurement for which a fault lasts.
 constexpr std::size_t READING_THREADS = 8; ///< Daemons asked at once.
 
-/** What the command was asked. */
-struct Options
-{
-    unsigned daemons = 50;
-    unsigned changes = 10;
-    double churn = 0;
-    double seconds = 15;
-    std::string fault = "none";
-    bool direct = false;
-    std::uint64_t seed = 1;
-    unsigned net = 21;
-};
-
-/** A change and when the platform had it. */
-struct AcceptedAt
-{
-    Revision revision = 0;
-    std::int64_t wallMs = 0;
-};
-
-/** Counters of one daemon at one time. */
-struct DaemonSample
-{
-    bool valid = false;
-    std::uint64_t incarnation = 0;
-    double bytes = 0;
-    std::map<std::string, double> bytesByKind;
-    ProcessUsage usage;
-};
-
-/** One life of a daemon as its time line tells it. */
-struct Life
-{
-    std::size_t server = 0;
-    std::int64_t startedMs = 0;
-    std::vector<std::pair<std::int64_t, Revision>> applied;
-};
-
 void pauseFor(double seconds)
 {
     std::this_thread::sleep_for(std::chrono::duration<double>(std::max(seconds, 0.0)));
@@ -82,7 +45,7 @@
 class Experiment
 {
 public:
-    explicit Experiment(const Options &options)
+    explicit Experiment(const ExperimentOptions &options)
         : m_options(options)
         , m_fleet(options.net)
         , m_random(options.seed)
@@ -456,7 +419,7 @@
                   << "\n";
     }
 
-    const Options m_options;
+    const ExperimentOptions m_options;
     SystemClock m_clock;
     Fleet m_fleet;
     Random m_random;
@@ -505,7 +468,7 @@
         std::cout << options.help();
         return 0;
     }
-    Options wanted;
+    ExperimentOptions wanted;
     wanted.daemons = parsed["daemons"].as<unsigned>();
     wanted.changes = parsed["changes"].as<unsigned>();
     wanted.churn = parsed["churn"].as<double>();
