Fix: spread: a watcher that the store turns away says so, and the next one watches at once

Ruled out: a silent watch (reading in its place changed nothing by itself), a slow store (its acknowledgements took 260 ms). Change: a failed call counts as never heard, is told to peers at once, and a peer that lost the store makes the next in rank look; after a failure the store is read each 0.5 s for 8 s in place of watched.

--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration TICK{200};             ///< Pause between looks at what is due.
 constexpr Duration STORE_TIMEOUT{3000};   ///< Longest wait for an answer of the store.
+constexpr Duration READ_TIMEOUT{1200};    ///< The same for the routes: another try is worth more.
 constexpr Duration WATCH_SLACK{1500};     ///< A watch is given up this long after its wait.
 constexpr Duration LEAVE_AFTER{2300};     ///< Callers have learnt by then that the daemon leaves.
 constexpr Duration QUIET_BEFORE_END{300}; ///< No request for this long before the end.
@@ -220,7 +221,7 @@
 void ProxyNode::perform(const ReadRoutes &)
 {
     m_watchStore.call(
-        m_adapter.readRoutes(), STORE_TIMEOUT, [this](const Result<HttpResponse> &answer) {
+        m_adapter.readRoutes(), READ_TIMEOUT, [this](const Result<HttpResponse> &answer) {
             const Result<StoredRoutes> read
                 = answer ? m_adapter.routesRead(answer.value())
                          : Result<StoredRoutes>(boost::outcome_v2::failure(answer.error()));
@@ -271,8 +272,10 @@
     m_log.belief(action.answers ? "store_back" : "store_lost", [&](LogFields &fields) {
         fields.add("code", std::int64_t{resultCodeNumber(action.error.code)});
         fields.add("detail", action.error.detail);
-        fields.add("age_ms", m_spread.storeAge(m_loop.now()).ms);
+        fields.add("version", m_spread.version());
     });
+    // The store may turn just this daemon away: another one has to watch at once.
+    m_links.tellState();
 }
 
 void ProxyNode::perform(const DirectoryActions &actions)
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -5,6 +5,13 @@
 
 namespace cornelwell {
 
+namespace {
+
+constexpr Duration STORE_LOST{
+    3000}; ///< A peer whose last word from the store aged by more has lost it.
+
+} // namespace
+
 void ProxyNode::callEnded(const CallOrigin &origin, const HostOutcome &outcome)
 {
     if (origin.daemon == m_settings.self.name) {
@@ -130,6 +137,7 @@
     else if (state.load.instance == peer->leftInstance)
         peer->leftInstance.clear();
     peer->sentWhenTold = peer->sent;
+    const bool lostStore = state.storeAge - peer->storeAge > STORE_LOST;
     peer->storeAge = state.storeAge;
     peer->leaving = state.leaving;
     if (!state.leftInstance.empty()) {
@@ -142,6 +150,8 @@
     peer->version = state.version;
     if (behind)
         perform(m_spread.peerTold(name, now));
+    else if (lostStore)
+        perform(m_spread.tick(now));
 }
 
 void ProxyNode::takeResult(const ServerId &name, const LinkResult &result)
--- a/src/spread/route_spread.cpp
+++ b/src/spread/route_spread.cpp
@@ -26,7 +26,7 @@
 
 Duration RouteSpread::storeAge(TimePoint now) const
 {
-    return m_storeEverHeard ? now - m_storeHeard : NEVER_HEARD;
+    return m_storeEverHeard && m_storeAnswers ? now - m_storeHeard : NEVER_HEARD;
 }
 
 void RouteSpread::storeAnswered(TimePoint now, SpreadActions &actions)
@@ -45,6 +45,7 @@
     m_callOpen = false;
     m_pause = {std::clamp(m_pause.ms * 2, m_options.retryMin.ms, m_options.retryMax.ms)};
     m_nextCall = now + m_random.jitter(m_pause);
+    m_unsettledUntil = now + m_options.unsettled;
     if (m_storeAnswers)
         actions.push_back(StoreChanged{false, error});
     m_storeAnswers = false;
@@ -58,6 +59,8 @@
         return actions;
     }
     storeAnswered(now, actions);
+    if (now < m_unsettledUntil)
+        m_nextCall = now + m_options.readPause;
     m_readNeeded = !answer.value().document;
     if (m_readNeeded)
         m_nextCall = now + m_random.jitter(m_options.retryMax);
@@ -176,7 +179,7 @@
     m_watching = shouldWatch(now);
     if (m_callOpen || now < m_nextCall)
         return actions;
-    if (m_readNeeded) {
+    if (m_readNeeded || (m_watching && now < m_unsettledUntil)) {
         m_callOpen = true;
         actions.push_back(ReadRoutes{});
     } else if (m_watching) {
--- a/src/spread/route_spread.h
+++ b/src/spread/route_spread.h
@@ -43,7 +43,8 @@
     const RouteTablePtr &inForce() const { return m_table; }
     /** @return number of the version in force; 0 before the first. */
     Revision version() const { return m_table ? m_table->version() : 0; }
-    /** @return how long ago the store answered; very long when never. */
+    /** @return how long ago the store answered; very long when never, or when the last call failed.
+     */
     Duration storeAge(TimePoint now) const;
     /** @return true when this daemon watches the store. */
     bool watching() const { return m_watching; }
@@ -71,6 +72,7 @@
     bool m_storeAnswers = true;
     Duration m_pause{0};
     TimePoint m_nextCall{0};
+    TimePoint m_unsettledUntil{0}; ///< Until then a watch may be silent though it looks open.
     TimePoint m_storeHeard{0};
     bool m_storeEverHeard = false;
     TimePoint m_started{0};
--- a/src/spread/route_spread_type.h
+++ b/src/spread/route_spread_type.h
@@ -66,6 +66,8 @@
     Duration watchWait = {4000}; ///< Longest wait of one watch.
     Duration freshFor = {5200};  ///< A watcher that heard the store within this counts as sound.
     Duration watchPause = {350}; ///< From one change to the next watch: a series is taken in steps.
+    Duration unsettled = {8000}; ///< After a failed call the store is read in place of watched.
+    Duration readPause = {500};  ///< Pause between these reads.
     Duration settle = {1000};    ///< A new daemon links to others before it watches.
     Duration retryMin = {100};   ///< First pause after a failed call.
     Duration retryMax = {1500};  ///< Longest pause.
--- a/src/spread/tests/spread_test.cpp
+++ b/src/spread/tests/spread_test.cpp
@@ -122,6 +122,35 @@
     CHECK(fixture.spread.storeAge(now).ms == 0);
 }
 
+TEST_CASE("after a failed call the store is read in short steps: a new watch may be silent",
+          "[spread]")
+{
+    Fixture fixture;
+    fixture.spread.start(NOW);
+    fixture.spread.readAnswered(stored(5, 7), NOW);
+    TimePoint now = NOW + seconds(2);
+    CHECK(find<WatchRoutes>(fixture.spread.tick(now)));
+    const Result<StoredRoutes> broken = fail(ResultCode::PlatformUnknown, "the connection ended");
+    fixture.spread.watchAnswered(broken, now);
+    int reads = 0;
+    for (int step = 0; step < 30; step++) {
+        now = now + Duration{200};
+        const auto actions = fixture.spread.tick(now);
+        CHECK_FALSE(find<WatchRoutes>(actions));
+        if (find<ReadRoutes>(actions) == nullptr)
+            continue;
+        reads++;
+        fixture.spread.readAnswered(stored(5, 7), now);
+    }
+    CHECK(reads >= 8);
+    fixture.spread.readAnswered(broken, now);
+    CHECK(fixture.spread.storeAge(now) > seconds(1000));
+    fixture.spread.readAnswered(stored(5, 7), now);
+    CHECK(fixture.spread.storeAge(now).ms == 0);
+    now = now + seconds(5);
+    CHECK(find<WatchRoutes>(fixture.spread.tick(now + seconds(4))));
+}
+
 TEST_CASE("one daemon of a data centre watches; others do when it no longer hears the store",
           "[spread]")
 {
