Codechange: spread: small differences are pushed, all else is read or asked for

Every daemon that had a version pushed the whole of it (1,315 routes) to every peer that had none, within 30 ms of the link: some 70 x 250 KB from a link of 0.6 MB/s. Heartbeats waited behind that for 10 s and more, links were taken for silent and closed, calls reached their server 5 s late. Each version was also told by each daemon to each other one.

Change: only daemons that watch the store push, and only a difference of up to 1,200 copies of routes over all receivers. A daemon that learns of a newer version waits 400 ms for the push, then reads the store over its own link; when the store fails it, or has an older version than a peer, it asks one peer drawn at random (a new message). A version is told to all only by a daemon that has it first; else to the sender and to watchers. Format of links 2.

--- a/sim/fleet_model.h
+++ b/sim/fleet_model.h
@@ -109,7 +109,8 @@
     void send(std::size_t from, std::size_t to, std::function<void()> deliver);
     void links(std::size_t index);
     void tick(std::size_t index);
-    void tellState(std::size_t index);
+    void tellState(std::size_t index, const std::vector<ServerId> *peers = nullptr);
+    void sendRoutes(std::size_t from, std::size_t to, const RouteUpdate &update);
     void report(std::size_t index, bool draining);
     void nextArrival();
     void arrival(std::size_t centre);
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -20,6 +20,7 @@
     unsigned sentWhenTold = 0; ///< The same when the load was told.
     Revision version = 0;      ///< Version in force there, as last told.
     Duration storeAge;         ///< How long ago it had heard from the platform's store.
+    bool watching = false;     ///< It watches the store and pushes versions.
     bool leaving = false;      ///< The daemon is about to stop.
     std::string
         leftInstance; ///< Server beside it that was last heard to leave; told it after a restart.
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -24,6 +24,7 @@
     Result,
     Routes,
     Crash,
+    AskRoutes,
     Count,
 };
 static_assert(std::variant_size_v<LinkMessage> == static_cast<std::size_t>(Kind::Count),
@@ -199,8 +200,8 @@
     }
     Json operator()(const LinkState &m) const
     {
-        return {Kind::State, m.name.text(), m.incarnation, toJson(m.load),
-                m.version,   m.storeAge.ms, m.leaving,     m.leftInstance};
+        return {Kind::State,   m.name.text(), m.incarnation,  toJson(m.load), m.version,
+                m.storeAge.ms, m.leaving,     m.leftInstance, m.watching};
     }
     Json operator()(const LinkCall &m) const
     {
@@ -238,6 +239,7 @@
                 toJson(m.load)};
     }
     Json operator()(const LinkRoutes &m) const { return toJson(m.update); }
+    Json operator()(const LinkAskRoutes &m) const { return {Kind::AskRoutes, m.have}; }
     Json operator()(const LinkCrash &m) const
     {
         return {Kind::Crash,       m.report.fingerprint,  m.report.server.text(),
@@ -297,6 +299,7 @@
                          list.at(4).get<Revision>(),
                          {list.at(5).get<std::int64_t>()},
                          list.at(6).get<bool>(),
+                         list.at(8).get<bool>(),
                          list.at(7).get<std::string>()};
     case Kind::Call:
         return callOf(list);
@@ -312,6 +315,8 @@
         return LinkCrash{{list.at(1).get<std::uint64_t>(), ServerId(list.at(2).get<std::string>()),
                           list.at(3).get<std::uint64_t>(), EntryName(list.at(4).get<std::string>()),
                           Duration{list.at(5).get<std::int64_t>()}}};
+    case Kind::AskRoutes:
+        return LinkAskRoutes{list.at(1).get<Revision>()};
     case Kind::Count:
         break;
     }
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -14,7 +14,7 @@
 namespace cornelwell {
 
 /** Version of the message format; daemons with another one are not linked. */
-constexpr unsigned LINK_FORMAT = 1;
+constexpr unsigned LINK_FORMAT = 2;
 
 /** First message of the daemon that opened the link. */
 struct LinkHello
@@ -33,6 +33,7 @@
     Revision version = 0;          ///< Version that it has in force.
     Duration storeAge;             ///< How long ago it heard from the platform's store.
     bool leaving = false;          ///< It is about to stop.
+    bool watching = false;         ///< It watches the platform's store and pushes versions.
     std::string leftInstance;      ///< Server beside the receiver that was last heard to leave.
 };
 /** Offers a call. */
@@ -74,6 +75,11 @@
 {
     RouteUpdate update; ///< What makes it of what the receiver has.
 };
+/** Asks for the version of the routes that the receiver has in force. */
+struct LinkAskRoutes
+{
+    Revision have = 0; ///< Version that the sender has.
+};
 /** A request crashed a server. */
 struct LinkCrash
 {
@@ -82,6 +88,6 @@
 
 /** A message. */
 using LinkMessage = std::variant<LinkHello, LinkState, LinkCall, LinkCancel, LinkAsk, LinkResult,
-                                 LinkRoutes, LinkCrash>;
+                                 LinkRoutes, LinkCrash, LinkAskRoutes>;
 
 } // namespace cornelwell
--- a/src/link/tests/link_test.cpp
+++ b/src/link/tests/link_test.cpp
@@ -46,6 +46,7 @@
     result.load.state = HostState::Ready;
     LinkState state;
     state.leftInstance = "i-9";
+    state.watching = true;
     const std::string bytes = encodeLinkMessage(sampleCall()) + encodeLinkMessage(result)
                               + encodeLinkMessage(LinkCancel{3, true}) + encodeLinkMessage(state);
     for (std::size_t cut = 0; cut <= bytes.size(); cut++) {
@@ -71,6 +72,7 @@
         CHECK(std::get<LinkResult>(messages[1]).outcome.work.ms == 44);
         CHECK(std::get<LinkCancel>(messages[2]).onlyWaiting);
         CHECK(std::get<LinkState>(messages[3]).leftInstance == "i-9");
+        CHECK(std::get<LinkState>(messages[3]).watching);
     }
 }
 
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -288,16 +288,40 @@
         link->send(bytes);
 }
 
-bool PeerLinks::sendRequest(const ServerId &peer, const LinkMessage &message)
+void PeerLinks::tellState(const std::vector<ServerId> &peers)
+{
+    const std::string bytes = encodeLinkMessage(m_listener.linkState());
+    for (const ServerId &peer : peers) {
+        const auto found = m_accepted.find(peer);
+        if (found == m_accepted.end())
+            continue;
+        const auto link = found->second;
+        link->send(bytes);
+    }
+}
+
+bool PeerLinks::sendBytes(const ServerId &peer, const std::string &bytes)
 {
     const auto found = m_opened.find(peer);
     if (found == m_opened.end() || !found->second->up)
         return false;
     const auto link = found->second;
-    link->send(encodeLinkMessage(message));
+    link->send(bytes);
     return true;
 }
 
+bool PeerLinks::sendRequest(const ServerId &peer, const LinkMessage &message)
+{
+    return sendBytes(peer, encodeLinkMessage(message));
+}
+
+void PeerLinks::sendRequests(const std::vector<ServerId> &peers, const LinkMessage &message)
+{
+    const std::string bytes = encodeLinkMessage(message);
+    for (const ServerId &peer : peers)
+        sendBytes(peer, bytes);
+}
+
 bool PeerLinks::sendAnswer(const ServerId &peer, std::uint64_t incarnation,
                            const LinkMessage &message)
 {
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -67,8 +67,12 @@
     void tick();
     /** Tells the state to all peers at once. */
     void tellState();
+    /** Tells it to some. */
+    void tellState(const std::vector<ServerId> &peers);
     /** Sends on the link that this daemon opened. @return false when it is not up. */
     bool sendRequest(const ServerId &peer, const LinkMessage &message);
+    /** The same to several peers; those whose link is not up are left out. */
+    void sendRequests(const std::vector<ServerId> &peers, const LinkMessage &message);
     /**
      * Sends on the link that the peer opened.
      * @param peer The peer.
@@ -87,6 +91,7 @@
     class Opened;
     class Accepted;
 
+    bool sendBytes(const ServerId &peer, const std::string &bytes);
     void openWanted(TimePoint now);
     void heartbeats(TimePoint now);
     std::set<ServerId> wanted() const;
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -248,12 +248,24 @@
         fields.add("source", action.source);
         fields.add("routes", std::uint64_t{action.table->routes().size()});
     });
-    m_links.tellState();
+}
+
+void ProxyNode::perform(const TellVersion &action)
+{
+    if (action.all)
+        m_links.tellState();
+    else
+        m_links.tellState(action.peers);
 }
 
 void ProxyNode::perform(const PushRoutes &action)
 {
-    m_links.sendRequest(action.peer, LinkRoutes{action.update});
+    m_links.sendRequests(action.peers, LinkRoutes{action.update});
+}
+
+void ProxyNode::perform(const AskRoutes &action)
+{
+    m_links.sendRequest(action.peer, LinkAskRoutes{action.have});
 }
 
 void ProxyNode::perform(const RejectRoutes &action)
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -115,7 +115,9 @@
     void perform(const ReadRoutes &action);
     void perform(const WatchRoutes &action);
     void perform(const ApplyRoutes &action);
+    void perform(const TellVersion &action);
     void perform(const PushRoutes &action);
+    void perform(const AskRoutes &action);
     void perform(const RejectRoutes &action);
     void perform(const StoreChanged &action);
     void perform(const DirectoryActions &actions);
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -65,6 +65,7 @@
     state.version = m_spread.version();
     state.storeAge = m_spread.storeAge(m_loop.now());
     state.leaving = m_leaving;
+    state.watching = m_spread.watching();
     return state;
 }
 
@@ -123,6 +124,8 @@
         takeState(name, *state);
     else if (const auto *result = std::get_if<LinkResult>(&message))
         takeResult(name, *result);
+    else if (const auto *routes = std::get_if<LinkRoutes>(&message))
+        perform(m_spread.received(name, routes->update, m_loop.now()));
 }
 
 void ProxyNode::takeState(const ServerId &name, const LinkState &state)
@@ -140,6 +143,7 @@
     const bool lostStore = state.storeAge - peer->storeAge > STORE_LOST;
     peer->storeAge = state.storeAge;
     peer->leaving = state.leaving;
+    peer->watching = state.watching;
     if (!state.leftInstance.empty()) {
         // Told by the daemon before this one: a late report must not bring the server back.
         ServerReport left;
@@ -180,6 +184,9 @@
                                LinkResult{ask->offer, *outcome, m_desk.load()});
     } else if (const auto *routes = std::get_if<LinkRoutes>(&message)) {
         perform(m_spread.received(peer.name, routes->update, m_loop.now()));
+    } else if (const auto *asked = std::get_if<LinkAskRoutes>(&message)) {
+        if (auto update = m_spread.asked(asked->have))
+            m_links.sendAnswer(peer.name, peer.incarnation, LinkRoutes{std::move(*update)});
     } else if (const auto *crash = std::get_if<LinkCrash>(&message)) {
         takeCrash(crash->report);
     }
--- a/src/spread/route_spread.cpp
+++ b/src/spread/route_spread.cpp
@@ -10,6 +10,7 @@
 constexpr Duration NEVER_HEARD{1'000'000'000};
 constexpr std::size_t RECENT_MAX = 8; ///< Versions kept to make updates from.
 constexpr Duration PUSH_AGAIN{1500};  ///< A peer that did not take a version is sent it again.
+constexpr Duration READ_AGAIN{1000};  ///< Pause before a daemon that is still behind reads again.
 
 } // namespace
 
@@ -46,6 +47,7 @@
     m_pause = {std::clamp(m_pause.ms * 2, m_options.retryMin.ms, m_options.retryMax.ms)};
     m_nextCall = now + m_random.jitter(m_pause);
     m_unsettledUntil = now + m_options.unsettled;
+    m_askAt = now;
     if (m_storeAnswers)
         actions.push_back(StoreChanged{false, error});
     m_storeAnswers = false;
@@ -56,6 +58,7 @@
     SpreadActions actions;
     if (!answer) {
         storeFailed(answer.error(), now, actions);
+        catchUp(now, actions);
         return actions;
     }
     storeAnswered(now, actions);
@@ -67,6 +70,11 @@
     m_storeRevision = answer.value().storeRevision;
     if (answer.value().document)
         takeDocument(*answer.value().document, now, actions);
+    if (m_behind) {
+        // The store's answer may be older than what peers have.
+        m_askAt = now;
+        catchUp(now, actions);
+    }
     return actions;
 }
 
@@ -98,7 +106,7 @@
         return actions;
     const Result<RouteTablePtr> table = applyRouteUpdate(m_table.get(), update);
     if (table)
-        take(table.value(), peer.text(), now, actions);
+        take(table.value(), peer, now, actions);
     else if (table.error().code != ResultCode::VersionGap)
         actions.push_back(RejectRoutes{table.error(), peer.text()});
     return actions;
@@ -123,20 +131,54 @@
         return;
     }
     if (table.value()->version() > version())
-        take(table.value(), source, now, actions);
+        take(table.value(), ServerId(), now, actions);
 }
 
-void RouteSpread::take(const RouteTablePtr &table, const std::string &source, TimePoint now,
+void RouteSpread::take(const RouteTablePtr &table, const ServerId &sender, TimePoint now,
                        SpreadActions &actions)
 {
+    const bool known = newestTold() >= table->version();
     if (m_table)
         m_recent.push_back(m_table);
     if (m_recent.size() > RECENT_MAX)
         m_recent.pop_front();
     m_table = table;
     m_pushAt.clear();
-    actions.push_back(ApplyRoutes{m_table, source});
+    m_behind = false;
+    actions.push_back(ApplyRoutes{m_table, sender.empty() ? "store" : sender.text()});
+    TellVersion tell = tellOf(sender);
+    tell.all = sender.empty() && !known;
+    actions.push_back(std::move(tell));
     pushToBehind(now, actions);
+    catchUp(now, actions);
+}
+
+/** Who sent it and who would push it need to know that it is here; others hear it by heartbeat. */
+TellVersion RouteSpread::tellOf(const ServerId &sender) const
+{
+    TellVersion tell;
+    for (const auto &[name, peer] : m_peers.peers()) {
+        if (peer.linked && (peer.watching || name == sender))
+            tell.peers.push_back(name);
+    }
+    return tell;
+}
+
+std::optional<RouteUpdate> RouteSpread::asked(Revision have) const
+{
+    if (!m_table || have >= version())
+        return std::nullopt;
+    return routeUpdate(recent(have).get(), *m_table);
+}
+
+Revision RouteSpread::newestTold() const
+{
+    Revision newest = 0;
+    for (const auto &[name, peer] : m_peers.peers()) {
+        if (peer.linked)
+            newest = std::max(newest, peer.version);
+    }
+    return newest;
 }
 
 SpreadActions RouteSpread::peerTold(const ServerId &peer, TimePoint now)
@@ -145,13 +187,12 @@
     return tick(now);
 }
 
-PushRoutes RouteSpread::pushTo(const ServerId &name, const Peer &peer) const
+RouteTablePtr RouteSpread::recent(Revision version) const
 {
-    const auto base
-        = std::find_if(m_recent.begin(), m_recent.end(), [&](const RouteTablePtr &table) {
-              return table->version() == peer.version;
-          });
-    return {name, routeUpdate(base == m_recent.end() ? nullptr : base->get(), *m_table)};
+    const auto found
+        = std::find_if(m_recent.begin(), m_recent.end(),
+                       [&](const RouteTablePtr &table) { return table->version() == version; });
+    return found == m_recent.end() ? nullptr : *found;
 }
 
 bool RouteSpread::shouldWatch(TimePoint now) const
@@ -176,6 +217,7 @@
 {
     SpreadActions actions;
     pushToBehind(now, actions);
+    catchUp(now, actions);
     m_watching = shouldWatch(now);
     if (m_callOpen || now < m_nextCall)
         return actions;
@@ -189,21 +231,63 @@
     return actions;
 }
 
+/** A daemon that knows of a newer version waits for a push, then reads, then asks a peer. */
+void RouteSpread::catchUp(TimePoint now, SpreadActions &actions)
+{
+    if (newestTold() <= version()) {
+        m_behind = false;
+        return;
+    }
+    if (!m_behind) {
+        m_behind = true;
+        m_readAt = now + m_random.jitter(m_options.pushWait);
+        m_askAt = now;
+        if (m_storeAnswers)
+            m_askAt = now + m_random.jitter(m_options.askAfter);
+        else if (m_table)
+            m_askAt = m_readAt;
+    }
+    if (now >= m_readAt && !m_callOpen && now >= m_nextCall) {
+        m_callOpen = true;
+        m_readAt = now + m_random.jitter(READ_AGAIN);
+        actions.push_back(ReadRoutes{});
+    }
+    if (now < m_askAt)
+        return;
+    if (const auto peer = holder()) {
+        m_askAt = now + m_random.jitter(m_options.askAgain);
+        actions.push_back(AskRoutes{*peer, version()});
+    }
+}
+
+/** @return a peer that has a newer version, drawn at random; of the own data centre if any. */
+std::optional<ServerId> RouteSpread::holder()
+{
+    std::vector<ServerId> near;
+    std::vector<ServerId> far;
+    for (const auto &[name, peer] : m_peers.peers()) {
+        if (peer.linked && peer.version > version())
+            (peer.record.dataCentre == m_peers.self().dataCentre ? near : far).push_back(name);
+    }
+    const std::vector<ServerId> &holders = near.empty() ? far : near;
+    if (holders.empty())
+        return std::nullopt;
+    return holders[m_random.below(holders.size())];
+}
+
 Duration RouteSpread::pushDelay(const Peer &peer, TimePoint now)
 {
-    if (peer.version == 0)
-        return m_random.jitter(m_options.pushNear);
-    if (!m_watching)
-        return m_random.jitter(m_options.pushOther);
     if (peer.record.dataCentre != m_peers.self().dataCentre)
         return m_random.jitter(m_options.pushFar);
     return {m_options.pushNear.ms * static_cast<std::int64_t>(m_peers.rankInDataCentre(now))};
 }
 
+/** Pushes small differences; what is large is left to the peers, whose links bear it better. */
 void RouteSpread::pushToBehind(TimePoint now, SpreadActions &actions)
 {
-    if (!m_table)
+    if (!m_table || !m_watching)
         return;
+    std::map<Revision, std::vector<ServerId>> due;
     for (const auto &[name, peer] : m_peers.peers()) {
         if (!peer.linked || peer.version >= version()) {
             m_pushAt.erase(name);
@@ -212,10 +296,16 @@
         const auto [entry, added] = m_pushAt.try_emplace(name, now);
         if (added)
             entry->second = now + pushDelay(peer, now);
-        if (now < entry->second)
+        if (now < entry->second || !recent(peer.version))
             continue;
         entry->second = now + PUSH_AGAIN;
-        actions.push_back(pushTo(name, peer));
+        due[peer.version].push_back(name);
+    }
+    for (auto &[base, peers] : due) {
+        RouteUpdate update = routeUpdate(recent(base).get(), *m_table);
+        const std::size_t changed = update.routes.size() + update.removed.size();
+        if (changed * peers.size() <= m_options.copiesMax)
+            actions.push_back(PushRoutes{std::move(peers), std::move(update)});
     }
 }
 
--- a/src/spread/route_spread.h
+++ b/src/spread/route_spread.h
@@ -12,9 +12,10 @@
 namespace cornelwell {
 
 /**
- * Some daemons of each data centre watch the platform's store and push what is new to the others; a
- * peer that stays behind is sent the version by whoever notices. A version is never replaced by an
- * older one. Events in, actions out.
+ * Some daemons of each data centre watch the platform's store and push what differs to the others.
+ * A large difference is only told: each daemon then reads the store over its own link, and one that
+ * the store does not answer asks a peer. A version is never replaced by an older one. Events in,
+ * actions out.
  */
 class RouteSpread
 {
@@ -34,6 +35,8 @@
     SpreadActions watchAnswered(const Result<StoredRoutes> &answer, TimePoint now);
     /** A peer sent a version. */
     SpreadActions received(const ServerId &peer, const RouteUpdate &update, TimePoint now);
+    /** A peer asks for the version in force. @return what makes it of what the peer has. */
+    std::optional<RouteUpdate> asked(Revision have) const;
     /** A peer told another version than before. */
     SpreadActions peerTold(const ServerId &peer, TimePoint now);
     /** Time passes; to be called a few times in a second, and when a peer told its version. */
@@ -51,9 +54,14 @@
 
 private:
     void takeDocument(const Result<RouteDocument> &document, TimePoint now, SpreadActions &actions);
-    void take(const RouteTablePtr &table, const std::string &source, TimePoint now,
+    /** @param sender Peer that sent the version; empty when it came from the store. */
+    void take(const RouteTablePtr &table, const ServerId &sender, TimePoint now,
               SpreadActions &actions);
-    PushRoutes pushTo(const ServerId &name, const Peer &peer) const;
+    TellVersion tellOf(const ServerId &sender) const;
+    RouteTablePtr recent(Revision version) const;
+    Revision newestTold() const;
+    void catchUp(TimePoint now, SpreadActions &actions);
+    std::optional<ServerId> holder();
     void storeAnswered(TimePoint now, SpreadActions &actions);
     void storeFailed(const Error &error, TimePoint now, SpreadActions &actions);
     bool shouldWatch(TimePoint now) const;
@@ -77,6 +85,9 @@
     bool m_storeEverHeard = false;
     TimePoint m_started{0};
     std::map<ServerId, TimePoint> m_pushAt; ///< When a peer that is behind is sent the version.
+    bool m_behind = false;                  ///< A peer has a newer version.
+    TimePoint m_readAt{0};                  ///< When it is read, if no push brings it before.
+    TimePoint m_askAt{0};                   ///< When a peer is asked for it.
 };
 
 } // namespace cornelwell
--- a/src/spread/route_spread_type.h
+++ b/src/spread/route_spread_type.h
@@ -36,11 +36,23 @@
     RouteTablePtr table; ///< The version.
     std::string source;  ///< Where it came from, for logs.
 };
-/** Send the version in force to a peer. */
+/** Tell peers which version is in force here. */
+struct TellVersion
+{
+    bool all = false;            ///< To all peers: nobody else told of it yet.
+    std::vector<ServerId> peers; ///< Else to these.
+};
+/** Send the version in force to peers that have the same older one. */
 struct PushRoutes
 {
-    ServerId peer;      ///< The peer.
-    RouteUpdate update; ///< What makes the version in force of what the peer has.
+    std::vector<ServerId> peers; ///< The peers.
+    RouteUpdate update;          ///< What makes the version in force of what they have.
+};
+/** Ask a peer for the version that it has in force. */
+struct AskRoutes
+{
+    ServerId peer;     ///< The peer.
+    Revision have = 0; ///< The version in force here.
 };
 /** A document was refused; the last good one stays. */
 struct RejectRoutes
@@ -55,8 +67,8 @@
     Error error;          ///< Why it does not.
 };
 /** An action of the spread. */
-using SpreadAction
-    = std::variant<ReadRoutes, WatchRoutes, ApplyRoutes, PushRoutes, RejectRoutes, StoreChanged>;
+using SpreadAction = std::variant<ReadRoutes, WatchRoutes, ApplyRoutes, TellVersion, PushRoutes,
+                                  AskRoutes, RejectRoutes, StoreChanged>;
 using SpreadActions = std::vector<SpreadAction>;
 
 /** Timeouts of the spread. */
@@ -73,7 +85,10 @@
     Duration retryMax = {1500};  ///< Longest pause.
     Duration pushNear = {30};    ///< Pause before a second watcher pushes in its data centre.
     Duration pushFar = {350};    ///< Pause before a watcher pushes elsewhere.
-    Duration pushOther = {1200}; ///< Pause before a daemon that does not watch pushes.
+    std::size_t copiesMax = 1200; ///< Routes of an update times its receivers that may be pushed.
+    Duration pushWait = {400};    ///< A daemon that is behind waits for a push, then reads itself.
+    Duration askAfter = {900};    ///< After this it asks a peer: the store may be silent.
+    Duration askAgain = {700};    ///< Pause between two such requests.
 };
 
 } // namespace cornelwell
