Feature: node: settings that change without a signal are noticed; budget and grace are taken over too

Ruled out: inotify (not available on the users' machines).

Change: the file's state is looked at once a second; store, repeat budget and grace are taken over, listeners, identity and server are named in the log as needing a restart. A file with a fault changes nothing.

--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration TICK{200};             ///< Pause between looks at what is due.
+constexpr Duration SETTINGS_LOOK{1000};   ///< Pause between looks at the settings file.
 constexpr Duration STORE_TIMEOUT{3000};   ///< Longest wait for an answer of the store.
 constexpr Duration READ_TIMEOUT{1200};    ///< The same for the routes: another try is worth more.
 constexpr Duration WATCH_SLACK{1500};     ///< A watch is given up this long after its wait.
@@ -30,6 +31,14 @@
     return options;
 }
 
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const std::string &name : names)
+        text += (text.empty() ? "" : ",") + name;
+    return text;
+}
+
 std::uint64_t seedOf(const NodeSettings &settings)
 {
     return hash64(settings.self.name.text()) ^ settings.self.incarnation;
@@ -42,7 +51,7 @@
     : m_loop(loop)
     , m_adapter(adapter)
     , m_settings(std::move(settings))
-    , m_settingsPath(std::move(settingsPath))
+    , m_settingsFile(std::move(settingsPath))
     , m_log(loop.clock(), DecisionLogOptions())
     , m_peers(m_settings.self, PeerOptions())
     , m_budget(m_settings.repeats)
@@ -110,7 +119,7 @@
 
 void ProxyNode::reload()
 {
-    const auto text = readFile(m_settingsPath, ResultCode::SettingsUnreadable);
+    const auto text = readFile(m_settingsFile.path(), ResultCode::SettingsUnreadable);
     const auto settings = text ? m_adapter.settings(text.value())
                                : Result<NodeSettings>(boost::outcome_v2::failure(text.error()));
     if (!settings) {
@@ -121,10 +130,24 @@
         });
         return;
     }
-    m_settings.store = settings.value().store;
+    const SettingsChange change = takeSettings(m_settings, settings.value());
     m_store.setAddress(m_settings.store);
     m_watchStore.setAddress(m_settings.store);
-    logLife("reloaded");
+    m_budget.setOptions(m_settings.repeats);
+    m_log.belief("reloaded", [&](LogFields &fields) {
+        fields.add("taken", joined(change.taken));
+        fields.add("need_restart", joined(change.needRestart));
+    });
+}
+
+/** The file may change without a signal. */
+void ProxyNode::lookAtSettings(TimePoint now)
+{
+    if (now < m_settingsLookAt)
+        return;
+    m_settingsLookAt = now + SETTINGS_LOOK;
+    if (m_settingsFile.changed())
+        reload();
 }
 
 void ProxyNode::tick()
@@ -135,6 +158,7 @@
     m_desk.tick();
     perform(m_spread.tick(now));
     perform(m_directory.tick(now));
+    lookAtSettings(now);
     if (m_leaving)
         checkLeft();
     m_log.flush();
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -14,6 +14,7 @@
 #include "node/peer_links.h"
 #include "node/platform_adapter.h"
 #include "node/return_memory.h"
+#include "node/settings_change.h"
 #include "node/store_client.h"
 #include "retry/quarantine.h"
 #include "routes/split_rotation.h"
@@ -34,7 +35,7 @@
      * @param loop The loop.
      * @param adapter The platform's dialect.
      * @param settings Settings.
-     * @param settingsPath File that they came from, read again on SIGHUP.
+     * @param settingsPath File that they came from, read again on SIGHUP and when it changed.
      */
     ProxyNode(EventLoop &loop, const PlatformAdapter &adapter, NodeSettings settings,
               std::string settingsPath);
@@ -125,6 +126,7 @@
     void perform(const ListDaemons &action);
 
     void tick();
+    void lookAtSettings(TimePoint now);
     void checkLeft();
     /** @return true when a request that may last until then is not to be begun: the process ends.
      */
@@ -134,7 +136,8 @@
     EventLoop &m_loop;
     const PlatformAdapter &m_adapter;
     NodeSettings m_settings;
-    const std::string m_settingsPath;
+    FileWatch m_settingsFile;
+    TimePoint m_settingsLookAt{0};
     DecisionLog m_log;
     Metrics m_metrics;
     PeerTable m_peers;
--- /dev/null
+++ b/src/node/settings_change.cpp
@@ -0,0 +1,76 @@
+/** @file settings_change.cpp Compares settings; looks at the state of their file. */
+#include "node/settings_change.h"
+
+#include <sys/stat.h>
+
+namespace cornelwell {
+
+namespace {
+
+bool operator==(const ServiceBudgetOptions &one, const ServiceBudgetOptions &other)
+{
+    return one.ratio == other.ratio && one.slack == other.slack && one.window == other.window;
+}
+
+bool sameSelf(const DaemonRecord &one, const DaemonRecord &other)
+{
+    return one.name == other.name && one.dataCentre == other.dataCentre && one.link == other.link
+           && one.service == other.service;
+}
+
+bool sameListeners(const NodeListeners &one, const NodeListeners &other)
+{
+    return one.calls == other.calls && one.ready == other.ready && one.reports == other.reports
+           && one.metrics == other.metrics;
+}
+
+} // namespace
+
+SettingsChange takeSettings(NodeSettings &inForce, const NodeSettings &next)
+{
+    SettingsChange change;
+    if (!(inForce.store == next.store))
+        change.taken.emplace_back("store");
+    if (!(inForce.repeats == next.repeats))
+        change.taken.emplace_back("repeats");
+    if (inForce.grace != next.grace)
+        change.taken.emplace_back("grace");
+    inForce.store = next.store;
+    inForce.repeats = next.repeats;
+    inForce.grace = next.grace;
+    if (!sameSelf(inForce.self, next.self))
+        change.needRestart.emplace_back("self");
+    if (!sameListeners(inForce.listen, next.listen))
+        change.needRestart.emplace_back("listen");
+    if (!(inForce.server == next.server))
+        change.needRestart.emplace_back("server");
+    return change;
+}
+
+FileWatch::FileWatch(std::string path) : m_path(std::move(path)), m_last(stamp()) {}
+
+bool FileWatch::Stamp::operator==(const Stamp &other) const
+{
+    return seconds == other.seconds && nanoseconds == other.nanoseconds && size == other.size
+           && node == other.node;
+}
+
+FileWatch::Stamp FileWatch::stamp() const
+{
+    struct stat state = {};
+    if (::stat(m_path.c_str(), &state) != 0)
+        return {};
+    return {state.st_mtim.tv_sec, state.st_mtim.tv_nsec, state.st_size, state.st_ino};
+}
+
+bool FileWatch::changed()
+{
+    const Stamp now = stamp();
+    // A file that is just being replaced may be absent for a moment.
+    if (now.size < 0 || now == m_last)
+        return false;
+    m_last = now;
+    return true;
+}
+
+} // namespace cornelwell
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -4,9 +4,14 @@
 #include "node/peer_links.h"
 #include "node/return_memory.h"
 #include "node/server_pool.h"
+#include "node/settings_change.h"
 
 #include <catch2/catch.hpp>
 
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
 using namespace cornelwell;
 
 namespace {
@@ -166,3 +171,40 @@
     fields.add("key", "a\"b\\c\n");
     CHECK(fields.text() == ",\"key\":\"a\\\"b\\\\c\\u000a\"");
 }
+
+TEST_CASE("changed settings: what may change is taken, the rest is named", "[node]")
+{
+    NodeSettings inForce;
+    inForce.store = {"127.0.0.1", 7000};
+    inForce.listen.calls = {"127.0.0.1", 8141};
+    NodeSettings next = inForce;
+    CHECK(takeSettings(inForce, next).taken.empty());
+    next.store.port = 7001;
+    next.repeats.slack = 7;
+    next.grace = seconds(9);
+    next.listen.calls.port = 1;
+    next.server.port = 2;
+    const SettingsChange change = takeSettings(inForce, next);
+    CHECK(change.taken == std::vector<std::string>{"store", "repeats", "grace"});
+    CHECK(change.needRestart == std::vector<std::string>{"listen", "server"});
+    CHECK(inForce.store.port == 7001);
+    CHECK(inForce.repeats.slack == 7);
+    CHECK(inForce.grace == seconds(9));
+    CHECK(inForce.listen.calls.port == 8141);
+}
+
+TEST_CASE("a settings file that changes without a signal is noticed once", "[node]")
+{
+    const std::string path = "/tmp/cornelwell-settings-" + std::to_string(::getpid());
+    std::ofstream(path) << "{}";
+    FileWatch watch(path);
+    CHECK_FALSE(watch.changed());
+    std::ofstream(path) << "{\"more\": 1}";
+    CHECK(watch.changed());
+    CHECK_FALSE(watch.changed());
+    std::remove(path.c_str());
+    CHECK_FALSE(watch.changed());
+    std::ofstream(path) << "{ }";
+    CHECK(watch.changed());
+    std::remove(path.c_str());
+}
--- a/src/retry/service_budget.h
+++ b/src/retry/service_budget.h
@@ -23,6 +23,8 @@
 public:
     explicit ServiceBudget(ServiceBudgetOptions options) : m_options(options) {}
 
+    /** Sets the fleet's budget; tokens that were earned stay. */
+    void setOptions(ServiceBudgetOptions options) { m_options = options; }
     /** Sets by how many daemons the slack is shared. */
     void setDaemons(std::size_t daemons) { m_daemons = daemons > 0 ? daemons : 1; }
     /** A request of the service begins. */
