Feature: dispatch: failures of deeper calls are not repeated at each depth; bench: chain and loop-steady

Ruled out: a budget that is too large at one service: each kept its tenth. The first chain with one server a service showed nothing, since there was no second server to repeat at; calls of the stand-in came from 127.0.0.1 and were not seen as the server's own until they were bound to its number.

A call of a server is not repeated then; a caller's request is, for two tokens. The stand-in server can call onwards; the bench's processes have a class of their own, and a fleet of daemons on the event loop; the load tool speaks the users' form.

--- a/bench/bench_internal.h
+++ b/bench/bench_internal.h
@@ -1,12 +1,28 @@
 /** @file bench_internal.h The commands of the load and experiment tool. */
 #pragma once
 
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+
 namespace cornelwell {
 
 int runLoadCommand(int argc, char **argv);         ///< `load`
 int runDistributionCommand(int argc, char **argv); ///< `distribution`
-int runCallsCommand(int argc, char **argv);
-/** Days of a modelled fleet. @return exit code. */
-int runSimCommand(int argc, char **argv); ///< `calls`
+int runCallsCommand(int argc, char **argv);        ///< `calls`
+int runSimCommand(int argc, char **argv);          ///< `sim`: days of a modelled fleet
+
+/** What a case on the event loop's daemons was asked. */
+struct PathCaseOptions
+{
+    std::uint64_t seed = 1; ///< Of the load.
+    double seconds = 12;    ///< Length of the load.
+    unsigned net = 31;      ///< Second number of the loopback addresses.
+};
+
+/** @return figures of a steady load against the same servers without daemons; null on failure. */
+nlohmann::json runLoopSteady(const PathCaseOptions &options);
+/** @return figures of calls 18 deep whose last service fails; null when the fleet did not start. */
+nlohmann::json runChain(const PathCaseOptions &options);
 
 } // namespace cornelwell
--- a/bench/calls_command.cpp
+++ b/bench/calls_command.cpp
@@ -29,6 +29,10 @@
 constexpr unsigned DATA_CENTRES = 3;       ///< Data centres of the fleet.
 constexpr Duration FORCE_TIMEOUT = {5000}; ///< Longest wait for an entry to be in force.
 
+constexpr const char *CASE_NAMES
+    = "steady, overload, limits, commitments, poison or shutdown; on the "
+      "event loop loop-steady or chain";
+
 /** What the command was asked. */
 struct CallsOptions
 {
@@ -57,6 +61,19 @@
     return worst;
 }
 
+/** Prints what a case gave. @return the command's exit status. */
+int printCase(Json result, const CallsOptions &options)
+{
+    if (result.is_null()) {
+        std::cerr << "the fleet did not start\n";
+        return 1;
+    }
+    result["case"] = options.caseName;
+    result["seed"] = options.seed;
+    std::cout << result.dump() << "\n";
+    return 0;
+}
+
 /** What the stand-in backend servers recorded, taken together. */
 struct Records
 {
@@ -81,16 +98,10 @@
                {"poison", &CallsExperiment::poison}, {"shutdown", &CallsExperiment::shutdown}};
         const auto chosen = CASES.find(m_options.caseName);
         if (chosen == CASES.end()) {
-            std::cerr << "--case is steady, overload, limits, commitments, poison or shutdown\n";
+            std::cerr << "--case is " << CASE_NAMES << "\n";
             return 2;
         }
-        Json result = (this->*chosen->second)();
-        if (result.is_null())
-            return 1;
-        result["case"] = m_options.caseName;
-        result["seed"] = m_options.seed;
-        std::cout << result.dump() << "\n";
-        return 0;
+        return printCase((this->*chosen->second)(), m_options);
     }
 
 private:
@@ -419,8 +430,7 @@
     cxxopts::Options options("cornelwell-bench calls",
                              "Real processes on loopback; prints one JSON object");
     auto add = options.add_options();
-    add("case", "steady, overload, limits, commitments, poison or shutdown",
-        cxxopts::value<std::string>());
+    add("case", CASE_NAMES, cxxopts::value<std::string>());
     add("seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"));
     add("seconds", "Length", cxxopts::value<double>()->default_value("12"));
     add("net", "Second number of the loopback addresses",
@@ -437,6 +447,11 @@
     wanted.seed = parsed["seed"].as<std::uint64_t>();
     wanted.seconds = parsed["seconds"].as<double>();
     wanted.net = parsed["net"].as<unsigned>();
+    const PathCaseOptions path = {wanted.seed, wanted.seconds, wanted.net};
+    if (wanted.caseName == "loop-steady")
+        return printCase(runLoopSteady(path), wanted);
+    if (wanted.caseName == "chain")
+        return printCase(runChain(path), wanted);
     return CallsExperiment(wanted).run();
 }
 
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -7,36 +7,18 @@
 
 #include <nlohmann/json.hpp>
 
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/stat.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <chrono>
-#include <csignal>
 #include <fstream>
 #include <sstream>
 #include <thread>
 
-extern char **environ;
-
 namespace cornelwell {
 
 namespace {
 
 constexpr std::chrono::milliseconds POLL(50); ///< Pause between looks at processes.
 constexpr Duration FETCH_TIMEOUT = {4000};    ///< Longest wait for an answer.
-constexpr double KILOBYTES_PER_MEGABYTE = 1024.0;
-constexpr unsigned SERVERS_PER_NET = 200; ///< Servers under one third number of the address.
-
-std::string ownFolder()
-{
-    char path[4096];
-    const ssize_t size = ::readlink("/proc/self/exe", path, sizeof path);
-    const std::string whole(path, size > 0 ? static_cast<std::size_t>(size) : 0);
-    return whole.substr(0, whole.rfind('/'));
-}
+constexpr unsigned SERVERS_PER_NET = 200;     ///< Servers under one third number of the address.
 
 double secondsNow()
 {
@@ -96,57 +78,12 @@
     return sum;
 }
 
-Fleet::Fleet(unsigned net) : m_net(net), m_binaries(ownFolder())
-{
-    char folder[] = "/tmp/cornelwell-bench-XXXXXX";
-    m_folder = ::mkdtemp(folder) != nullptr ? folder : "/tmp";
-}
-
-Fleet::~Fleet()
-{
-    for (Server &server : m_servers) {
-        end(server.daemon, SIGKILL);
-        end(server.backend, SIGKILL);
-    }
-    end(m_platform, SIGKILL);
-}
-
-pid_t Fleet::spawn(const std::vector<std::string> &words, const std::string &log)
-{
-    std::vector<char *> argv;
-    argv.reserve(words.size() + 1);
-    for (const std::string &word : words)
-        argv.push_back(const_cast<char *>(word.c_str()));
-    argv.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    const std::string path = m_folder + "/" + log + ".log";
-    posix_spawn_file_actions_addopen(&actions, 1, path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-                                     0644);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    pid_t pid = -1;
-    if (posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ) != 0)
-        pid = -1;
-    posix_spawn_file_actions_destroy(&actions);
-    return pid;
-}
-
-void Fleet::end(pid_t &pid, int signal)
-{
-    if (pid <= 0)
-        return;
-    ::kill(pid, signal);
-    if (signal != SIGKILL)
-        return;
-    ::waitpid(pid, nullptr, 0);
-    pid = -1;
-}
+Fleet::Fleet(unsigned net) : m_net(net) {}
 
 void Fleet::startPlatform()
 {
-    m_platform = spawn(
-        {m_binaries + "/cornelwell-standin", "platform", "--listen", formatEndpoint(platform())},
-        "platform");
+    m_platform = m_processes.start(
+        "cornelwell-standin", {"platform", "--listen", formatEndpoint(platform())}, "platform");
     for (int i = 0; i < 100 && fetch(platform(), "/control").empty(); i++)
         std::this_thread::sleep_for(POLL);
 }
@@ -160,7 +97,7 @@
                      + std::to_string(1 + index / SERVERS_PER_NET) + "."
                      + std::to_string(1 + index % SERVERS_PER_NET);
     m_servers.push_back(server);
-    std::ofstream file(m_folder + "/" + id(index) + ".json");
+    std::ofstream file(m_processes.folder() + "/" + id(index) + ".json");
     file << settingsOf(index);
     return index;
 }
@@ -200,50 +137,39 @@
 
 void Fleet::startDaemon(std::size_t server)
 {
-    m_servers[server].daemon = spawn(
-        {m_binaries + "/cornelwell", "daemon", "--settings", m_folder + "/" + id(server) + ".json"},
+    m_servers[server].daemon = m_processes.start(
+        "cornelwell", {"daemon", "--settings", m_processes.folder() + "/" + id(server) + ".json"},
         id(server));
 }
 
 void Fleet::startBackend(std::size_t server)
 {
     const ServerPlan &plan = m_servers[server].plan;
-    m_servers[server].backend
-        = spawn({m_binaries + "/cornelwell-standin", "backend", "--listen",
-                 formatEndpoint(backend(server)), "--id", id(server), "--slots",
-                 std::to_string(plan.slots), "--work-ms", std::to_string(plan.workMs)},
-                id(server) + "-backend");
+    m_servers[server].backend = m_processes.start(
+        "cornelwell-standin",
+        {"backend", "--listen", formatEndpoint(backend(server)), "--id", id(server), "--slots",
+         std::to_string(plan.slots), "--work-ms", std::to_string(plan.workMs)},
+        id(server) + "-backend");
 }
 
 void Fleet::signalDaemon(std::size_t server, int signal)
 {
-    end(m_servers[server].daemon, signal);
+    m_processes.signal(m_servers[server].daemon, signal);
 }
 
 void Fleet::signalBackend(std::size_t server, int signal)
 {
-    end(m_servers[server].backend, signal);
+    m_processes.signal(m_servers[server].backend, signal);
 }
 
 int Fleet::waitDaemon(std::size_t server, double seconds)
 {
-    const double until = secondsNow() + seconds;
-    int status = 0;
-    while (secondsNow() < until) {
-        if (::waitpid(m_servers[server].daemon, &status, WNOHANG) > 0) {
-            m_servers[server].daemon = -1;
-            return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
-        }
-        std::this_thread::sleep_for(POLL);
-    }
-    return -1;
+    return m_processes.wait(m_servers[server].daemon, seconds);
 }
 
 bool Fleet::reviveBackend(std::size_t server)
 {
-    int status = 0;
-    const pid_t pid = m_servers[server].backend;
-    if (pid > 0 && ::waitpid(pid, &status, WNOHANG) == 0)
+    if (!m_processes.ended(m_servers[server].backend))
         return false;
     startBackend(server);
     return true;
@@ -313,26 +239,7 @@
 
 ProcessUsage Fleet::usage(std::size_t server) const
 {
-    const std::string folder = "/proc/" + std::to_string(m_servers[server].daemon);
-    ProcessUsage usage;
-    std::ifstream stat(folder + "/stat");
-    std::string text((std::istreambuf_iterator<char>(stat)), {});
-    std::istringstream fields(text.substr(std::min(text.rfind(')') + 2, text.size())));
-    std::string word;
-    constexpr int USER_TIME_FIELD = 12; // After the name: state is field 1.
-    for (int i = 1; i < USER_TIME_FIELD; i++)
-        fields >> word;
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    usage.cpuSeconds = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-    std::ifstream status(folder + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.rfind("VmRSS:", 0) == 0)
-            usage.rssMegabytes = std::strtod(line.c_str() + 6, nullptr) / KILOBYTES_PER_MEGABYTE;
-    }
-    return usage;
+    return usageOf(m_servers[server].daemon);
 }
 
 } // namespace cornelwell
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -2,11 +2,11 @@
  * servers. */
 #pragma once
 
+#include "processes.h"
+
 #include "base/identifier_type.h"
 #include "base/result.h"
 
-#include <sys/types.h>
-
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,13 +27,6 @@
     std::string extra;              ///< More settings, as JSON members with a leading comma.
 };
 
-/** Processor time and memory of a process. */
-struct ProcessUsage
-{
-    double cpuSeconds = 0;   ///< User and system time so far.
-    double rssMegabytes = 0; ///< Resident memory now.
-};
-
 /** Starts, kills and looks at processes; ends those it started, by their ids, when destroyed. */
 class Fleet
 {
@@ -41,9 +34,6 @@
     /** @param net Second number of the loopback addresses, so that two fleets can stand side by
      * side. */
     explicit Fleet(unsigned net);
-    ~Fleet();
-    Fleet(const Fleet &) = delete;
-    Fleet &operator=(const Fleet &) = delete;
 
     /** Starts the stand-in platform with the brief's rates. */
     void startPlatform();
@@ -92,13 +82,10 @@
         pid_t backend = -1;
     };
 
-    pid_t spawn(const std::vector<std::string> &words, const std::string &log);
-    void end(pid_t &pid, int signal);
     std::string settingsOf(std::size_t server) const;
 
     const unsigned m_net;
-    std::string m_binaries;
-    std::string m_folder;
+    Processes m_processes;
     pid_t m_platform = -1;
     std::vector<Server> m_servers;
 };
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -57,6 +57,40 @@
     }
 }
 
+/** A request on the users' platform. */
+HttpRequest platformRequest(const LoadPlan &plan, const LoadCall &call, const std::string &token)
+{
+    HttpRequest request;
+    request.method = call.method;
+    request.path = call.path;
+    request.headers.add("Host", plan.host);
+    request.headers.add(plan.fields->requestId, token);
+    request.headers.add(plan.fields->deadline, std::to_string(call.patience.ms));
+    if (call.method != "GET")
+        request.body = "body of " + token;
+    return request;
+}
+
+/** An answer there: a failure of the server is an answer too, of its own request. */
+void judgePlatform(CallRecord &record, const CallFields &fields, const HttpOutcome &outcome,
+                   const HttpRequest &request)
+{
+    record.failed = outcome.failure != HttpFailure::None;
+    if (record.failed)
+        return;
+    const HttpResponse &response = outcome.response;
+    const bool own
+        = response.headers.get(fields.requestId) == request.headers.get(fields.requestId);
+    const bool sealed = response.headers.has(fields.seal);
+    record.code = response.status;
+    record.notRun = own && !sealed && response.status == 503;
+    record.unknown = own && !sealed && !record.notRun;
+    record.answered
+        = own && sealed
+          && (response.status != 200 || response.body == request.path + "\n" + request.body);
+    record.wrong = !record.answered && !record.notRun && !record.unknown;
+}
+
 HttpRequest requestOf(const LoadCall &call, const std::string &token, bool keyed)
 {
     HttpRequest request;
@@ -116,7 +150,8 @@
                                       arrivals[i].atMs * MICROSECONDS_PER_MILLISECOND));
             std::this_thread::sleep_until(intended);
             const std::string token = plan.prefix + "-" + std::to_string(i);
-            const HttpRequest request = requestOf(call, token, call.keyed);
+            const HttpRequest request = plan.fields ? platformRequest(plan, call, token)
+                                                    : requestOf(call, token, call.keyed);
             CallRecord &record = records[i];
             record.kind = arrivals[i].kind;
             record.key = call.keyed ? token : "";
@@ -124,8 +159,11 @@
             for (unsigned tries = 0; tries <= call.repeats; tries++) {
                 HttpBounds bounds;
                 bounds.deadline = clock.now() + call.patience + CALL_MARGIN;
-                judge(record, client.execute(plan.targets[target], request, bounds), token,
-                      request.body);
+                const HttpOutcome outcome = client.execute(plan.targets[target], request, bounds);
+                if (plan.fields)
+                    judgePlatform(record, *plan.fields, outcome, request);
+                else
+                    judge(record, outcome, token, request.body);
                 if (!record.unknown && !record.failed)
                     break;
                 target = (target + 1) % plan.targets.size();
--- a/bench/load.h
+++ b/bench/load.h
@@ -5,9 +5,11 @@
 #include "base/clock.h"
 #include "base/identifier_type.h"
 #include "http/http_type.h"
+#include "node/platform_adapter.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,13 +32,15 @@
 /** A load. */
 struct LoadPlan
 {
-    std::vector<Endpoint> targets; ///< Where callers connect; chosen at random.
-    std::vector<LoadCall> calls;   ///< Kinds of call.
-    double ratePerSecond = 100;    ///< Mean of the exponential arrivals.
-    double seconds = 5;            ///< Length.
-    unsigned threads = 32;         ///< Callers at once, at most.
-    std::uint64_t seed = 1;        ///< Of arrivals, targets, kinds.
-    std::string prefix = "load";   ///< Beginning of tokens and keys.
+    std::vector<Endpoint> targets;    ///< Where callers connect; chosen at random.
+    std::vector<LoadCall> calls;      ///< Kinds of call.
+    double ratePerSecond = 100;       ///< Mean of the exponential arrivals.
+    double seconds = 5;               ///< Length.
+    unsigned threads = 32;            ///< Callers at once, at most.
+    std::uint64_t seed = 1;           ///< Of arrivals, targets, kinds.
+    std::string prefix = "load";      ///< Beginning of tokens and keys.
+    std::optional<CallFields> fields; ///< The users' platform is spoken; else the product's form.
+    std::string host;                 ///< Host that callers name, on the users' platform.
 };
 
 /** What became of one call. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -19,6 +19,7 @@
 constexpr double BYTES_PER_KB = 1024;
 constexpr double HEADERS_KB = 0.5; ///< Header fields and framing, both ways.
 constexpr double SMOOTHING = 0.1;
+constexpr double DEEP_REPEAT_COST = 2; ///< A repeat of what failed deeper repeats all below it.
 constexpr std::size_t ROUTES_MAX = 1024;
 constexpr std::int64_t LEAST_TIME_MS = 20; ///< With less time left no further offer is made.
 
@@ -254,6 +255,15 @@
     place(id, flight, now, actions);
 }
 
+/** What failed deeper was repeated there: repeats at each depth would multiply. A caller's request
+ * is repeated still, at a higher price, since all its calls are made again. */
+bool Dispatcher::mayRepeatFailure(const Flight &flight, const HostOutcome &outcome, TimePoint now)
+{
+    if (outcome.deep && flight.plan.fromServer)
+        return false;
+    return m_budget.take(flight.plan.service, now, outcome.deep ? DEEP_REPEAT_COST : 1);
+}
+
 void Dispatcher::failed(FlightId id, Flight &flight, const HostOutcome &outcome, TimePoint now,
                         DispatchActions &actions)
 {
@@ -261,7 +271,7 @@
     if (!answered)
         flight.unknown = true;
     if (flight.plan.route->idempotent && mayRepeat(flight, now)
-        && m_budget.take(flight.plan.service, now)) {
+        && mayRepeatFailure(flight, outcome, now)) {
         flight.offers = 0;
         flight.unknown = true;
         if (answered)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -98,6 +98,7 @@
     void failed(FlightId id, Flight &flight, const HostOutcome &outcome, TimePoint now,
                 DispatchActions &actions);
     bool mayRepeat(const Flight &flight, TimePoint now) const;
+    bool mayRepeatFailure(const Flight &flight, const HostOutcome &outcome, TimePoint now);
     void refuse(FlightId id, const Flight &flight, TimePoint now, DispatchActions &actions);
     void answerOwn(FlightId id, int status, HostReason reason, Duration retryAfter,
                    DispatchActions &actions);
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -37,7 +37,7 @@
         one.load.workMs = workMs;
     }
 
-    DispatchActions begin(bool idempotent = true, unsigned attempts = 2)
+    DispatchActions begin(bool idempotent = true, unsigned attempts = 2, bool fromServer = false)
     {
         auto route = std::make_shared<Route>();
         route->name = "r";
@@ -50,6 +50,7 @@
         plan.deadline = NOW + Duration{1000};
         plan.callerDeadline = NOW + Duration{1200};
         plan.goal = NOW + Duration{500};
+        plan.fromServer = fromServer;
         return dispatcher.begin(++last, plan, NOW);
     }
 };
@@ -220,6 +221,31 @@
     CHECK(repeats <= 32);
 }
 
+TEST_CASE("what failed deeper is not repeated at each depth; at the first at twice the price",
+          "[dispatch]")
+{
+    Fixture fixture;
+    fixture.peer("a");
+    fixture.peer("b");
+    HostOutcome deep = outcome(RunState::Answered, HostReason::None, true, 500);
+    deep.deep = true;
+    const OfferId inner = only<SendOffer>(fixture.begin(true, 2, true)).offer;
+    CHECK(only<PassAnswer>(fixture.dispatcher.ended(inner, deep, NOW)).response.status == 500);
+    const OfferId shallow = only<SendOffer>(fixture.begin(true, 2, true)).offer;
+    deep.deep = false;
+    CHECK(std::holds_alternative<SendOffer>(fixture.dispatcher.ended(shallow, deep, NOW)[0]));
+    deep.deep = true;
+    unsigned repeats = 0;
+    for (int i = 0; i < 1000; i++) {
+        const OfferId offer = only<SendOffer>(fixture.begin()).offer;
+        const auto actions = fixture.dispatcher.ended(offer, deep, NOW);
+        repeats += std::holds_alternative<SendOffer>(actions[0]) ? 1 : 0;
+    }
+    // A tenth of the requests earns a token each, and some slack comes on top.
+    CHECK(repeats >= 50);
+    CHECK(repeats <= 62);
+}
+
 TEST_CASE("the caller leaves, or the time is over: the offer is given up at once", "[dispatch]")
 {
     Fixture fixture;
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -84,6 +84,7 @@
     HttpResponse response;                ///< The server's answer, when there is one.
     Duration retryAfter;                  ///< When room is expected.
     Duration work;                        ///< Time at the server.
+    bool deep = false; ///< The server failed since a call of its own had failed before.
 };
 
 /** What becomes of a call now. */
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -1,5 +1,6 @@
 /** @file hosting_test.cpp Order of a server's reports, slots, and which calls wait. */
 #include "hosting/host_gate.h"
+#include "hosting/inner_failures.h"
 
 #include <catch2/catch.hpp>
 
@@ -215,3 +216,15 @@
     CHECK(refuses(gate.offer(call(4), NOW), 4, HostReason::DaemonLeaving));
     CHECK(gate.finished(1, HostFinish::Served, {100}, NOW).empty());
 }
+
+TEST_CASE("a failed call of the server explains one failure soon after it", "[hosting]")
+{
+    InnerFailures failures;
+    const TimePoint now{5000};
+    CHECK_FALSE(failures.explains(now));
+    failures.failed(now);
+    CHECK(failures.explains(now + Duration{5}));
+    CHECK_FALSE(failures.explains(now + Duration{6}));
+    failures.failed(now);
+    CHECK_FALSE(failures.explains(now + seconds(1)));
+}
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -28,7 +28,8 @@
     message.method_string(request.method);
     message.target(request.query.empty() ? request.path : request.path + "?" + request.query);
     message.version(11);
-    message.set(http::field::host, formatEndpoint(server));
+    if (!request.headers.has("Host"))
+        message.set(http::field::host, formatEndpoint(server));
     for (const HttpHeader &field : request.headers.fields())
         message.insert(field.name, field.value);
     message.body() = request.body;
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -236,7 +236,8 @@
                 m.outcome.response.status,
                 toJson(m.outcome.response.headers),
                 binary(m.outcome.response.body),
-                toJson(m.load)};
+                toJson(m.load),
+                m.outcome.deep};
     }
     Json operator()(const LinkRoutes &m) const { return toJson(m.update); }
     Json operator()(const LinkAskRoutes &m) const { return {Kind::AskRoutes, m.have}; }
@@ -283,6 +284,7 @@
     m.outcome.response.headers = headersOf(list.at(8));
     m.outcome.response.body = textOf(list.at(9));
     m.load = loadOf(list.at(10));
+    m.outcome.deep = list.at(11).get<bool>();
     return m;
 }
 
--- a/src/loop/tcp_connection.cpp
+++ b/src/loop/tcp_connection.cpp
@@ -55,7 +55,7 @@
 TcpConnection::~TcpConnection() = default;
 
 TcpConnectionPtr TcpConnection::open(EventLoop &loop, const Endpoint &to, Duration timeout,
-                                     ConnectionHandler &handler)
+                                     ConnectionHandler &handler, const std::string &fromIp)
 {
     auto connection = std::make_shared<TcpConnection>(
         std::make_unique<Impl>(loop, Tcp::socket(loop.context())));
@@ -64,6 +64,11 @@
     impl.connecting = true;
     ErrorCode bad;
     const auto address = boost::asio::ip::make_address(to.ip, bad);
+    if (!fromIp.empty()) {
+        const auto own = boost::asio::ip::make_address(fromIp, bad);
+        impl.socket.open(own.is_v6() ? Tcp::v6() : Tcp::v4(), bad);
+        impl.socket.bind({own, 0}, bad);
+    }
     impl.connectTimer = loop.after(timeout, [weak = std::weak_ptr<TcpConnection>(connection)] {
         if (const auto self = weak.lock())
             self->finish(ConnectionEnd::Timeout);
--- a/src/loop/tcp_connection.h
+++ b/src/loop/tcp_connection.h
@@ -47,10 +47,11 @@
      * @param to Where to.
      * @param timeout Longest wait for it to open.
      * @param handler Told what happens.
+     * @param fromIp IP number that it comes from; empty for any.
      * @return the connection, not open yet.
      */
     static TcpConnectionPtr open(EventLoop &loop, const Endpoint &to, Duration timeout,
-                                 ConnectionHandler &handler);
+                                 ConnectionHandler &handler, const std::string &fromIp = {});
     ~TcpConnection();
 
     /** Begins to read; only for accepted connections. */
--- a/src/node/host_desk.cpp
+++ b/src/node/host_desk.cpp
@@ -132,6 +132,8 @@
     const TimePoint now = m_loop.now();
     HostOutcome outcome = result.outcome;
     outcome.work = result.work;
+    if (result.finish == HostFinish::Failed)
+        outcome.deep = m_innerFailures.explains(now);
     const bool broken = outcome.reason == HostReason::Broken;
     if (broken)
         m_suspects.emplace_back(
@@ -217,6 +219,7 @@
         fields.add("state", runStateName(outcome.state));
         fields.add("reason", hostReasonName(outcome.reason));
         fields.add("status", std::int64_t{outcome.response.status});
+        fields.add("deep", std::int64_t{outcome.deep ? 1 : 0});
         fields.add("held_ms", (now - call.arrived).ms);
         fields.add("left_ms", (call.deadline - now).ms);
         fields.add("running", std::uint64_t{m_gate.running()});
--- a/src/node/host_desk.h
+++ b/src/node/host_desk.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "hosting/host_gate.h"
+#include "hosting/inner_failures.h"
 #include "link/link_message_type.h"
 #include "log/decision_log.h"
 #include "node/server_pool.h"
@@ -63,6 +64,8 @@
     /** The sender asks on a new link how a call ended. @return the outcome; nothing while it runs.
      */
     std::optional<HostOutcome> ask(const CallOrigin &origin);
+    /** A call that the server itself made was answered with a failure. */
+    void innerCallFailed() { m_innerFailures.failed(m_loop.now()); }
     /** Time passes. */
     void tick();
 
@@ -112,6 +115,7 @@
     std::deque<std::pair<TimePoint, CallOrigin>> m_keptOrder;
     std::deque<std::pair<TimePoint, std::pair<std::uint64_t, std::string>>>
         m_suspects; ///< Broken lately.
+    InnerFailures m_innerFailures;
     HostCallId m_lastCall = 0;
     TimePoint m_nextProbe{0};
 };
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -56,6 +56,7 @@
         HttpRequest request;
         std::string requestId;
         std::string route;
+        bool fromServer = false;       ///< The server beside this daemon made it.
         std::uint64_t fingerprint = 0; ///< Hash of the request; 0 when it matched no route.
         TimePoint goal{0};             ///< Of its first try.
         TimePoint began{0};
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -14,6 +14,7 @@
 
 constexpr int NOT_FOUND = 404;
 constexpr int UNAVAILABLE = 503;
+constexpr int SERVER_ERROR = 500;
 constexpr double MS_PER_SECOND = 1000;
 constexpr Duration NO_ROUTES_RETRY{300}; ///< Advice while no version is known.
 constexpr Duration LEAVING_RETRY{20};    ///< Advice while the daemon leaves: others serve at once.
@@ -116,6 +117,7 @@
     const HttpRequest &request = incoming.request;
     Flight &flight = m_flights[id];
     flight.session = session.shared_from_this();
+    flight.fromServer = session.fromServer();
     flight.requestId = std::string(request.headers.get(m_adapter.callFields().requestId));
     flight.began = now;
     if (!table) {
@@ -307,6 +309,8 @@
     m_loop.cancel(found->second.hedgeTimer);
     const Flight flight = std::move(found->second);
     m_flights.erase(found);
+    if (flight.fromServer && response.status >= SERVER_ERROR)
+        m_desk.innerCallFailed();
     const std::int64_t took = (m_loop.now() - flight.began).ms;
     m_metrics.count("calls_total", "status=\"" + std::to_string(response.status) + "\"");
     m_metrics.sample("call_ms", "", static_cast<double>(took));
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -14,7 +14,8 @@
 
 } // namespace
 
-StoreClient::StoreClient(EventLoop &loop, Endpoint store) : m_loop(loop), m_store(std::move(store))
+StoreClient::StoreClient(EventLoop &loop, Endpoint store, std::string fromIp)
+    : m_loop(loop), m_store(std::move(store)), m_fromIp(std::move(fromIp))
 {}
 
 StoreClient::~StoreClient()
@@ -32,7 +33,8 @@
 
 void StoreClient::call(HttpRequest request, Duration timeout, Callback callback)
 {
-    request.headers.add("Host", formatEndpoint(m_store));
+    if (!request.headers.has("Host"))
+        request.headers.add("Host", formatEndpoint(m_store));
     if (!request.body.empty())
         request.headers.add("Content-Type", "application/json");
     m_waiting.push_back({std::move(request), timeout, std::move(callback)});
@@ -52,7 +54,7 @@
     });
     m_sent = false;
     if (!m_connection || !m_connection->isOpen()) {
-        m_connection = TcpConnection::open(m_loop, m_store, CONNECT_TIMEOUT, *this);
+        m_connection = TcpConnection::open(m_loop, m_store, CONNECT_TIMEOUT, *this, m_fromIp);
         return;
     }
     connected();
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -22,7 +22,8 @@
      * @param loop The loop.
      * @param store Address of the store.
      */
-    StoreClient(EventLoop &loop, Endpoint store);
+    /** @param fromIp IP number that calls come from; empty for any. */
+    StoreClient(EventLoop &loop, Endpoint store, std::string fromIp = {});
     ~StoreClient() override;
 
     /** Changes the address, for calls from now on. */
@@ -55,6 +56,7 @@
 
     EventLoop &m_loop;
     Endpoint m_store;
+    const std::string m_fromIp;
     TcpConnectionPtr m_connection;
     AnswerReader m_reader;
     std::deque<Call> m_waiting;
--- a/src/retry/service_budget.cpp
+++ b/src/retry/service_budget.cpp
@@ -25,12 +25,12 @@
     bucket.tokens = std::min(std::max(1.0, share() / 2), bucket.tokens + m_options.ratio);
 }
 
-bool ServiceBudget::take(const ServiceName &service, TimePoint now)
+bool ServiceBudget::take(const ServiceName &service, TimePoint now, double cost)
 {
     Bucket &bucket = refilled(service, now);
     if (bucket.tokens < 1)
         return false;
-    bucket.tokens -= 1;
+    bucket.tokens -= cost;
     return true;
 }
 
--- a/src/retry/service_budget.h
+++ b/src/retry/service_budget.h
@@ -29,8 +29,14 @@
     void setDaemons(std::size_t daemons) { m_daemons = daemons > 0 ? daemons : 1; }
     /** A request of the service begins. */
     void requestBegan(const ServiceName &service, TimePoint now);
-    /** Asks for a repeat. @return true when one may be made; it is used up then. */
-    bool take(const ServiceName &service, TimePoint now);
+    /**
+     * Asks for a repeat.
+     * @param service Service that is to run it.
+     * @param now Time.
+     * @param cost What it uses up; more than one may leave a debt.
+     * @return true when it may be made.
+     */
+    bool take(const ServiceName &service, TimePoint now, double cost = 1);
     /** Gives a repeat back that did not reach a server. */
     void giveBack(const ServiceName &service);
 
--- a/standin/app_standin.cpp
+++ b/standin/app_standin.cpp
@@ -16,6 +16,8 @@
 using Json = nlohmann::json;
 
 constexpr Duration REPORT_PAUSE{500};
+constexpr int OK = 200;
+constexpr int FAILED = 500;
 constexpr Duration REPORT_TIMEOUT{1000};
 constexpr const char *REPORT_PATH = "/api/instances/";
 
@@ -130,11 +132,52 @@
     const std::string named = queryValue(query, "work");
     const Duration work
         = named.empty() ? m_options.work : Duration{std::strtoll(named.c_str(), nullptr, 10)};
-    const bool fails = !queryValue(query, "fail").empty();
-    m_loop.after(work, [this, reply, requestId, fails, body = request.path + "\n" + request.body] {
-        m_running--;
-        reply(sealed(fails ? 500 : 200, requestId, body));
+    const bool last = m_options.next.empty();
+    const bool fails
+        = !queryValue(query, "fail").empty() || (last && !queryValue(query, "deepfail").empty());
+    m_loop.after(work, [this, reply, requestId, fails, last, request] {
+        if (last || fails)
+            finish(requestId, fails ? FAILED : OK, request.path + "\n" + request.body, reply);
+        else
+            callNext(request, reply);
     });
 }
 
+void AppStandin::finish(const std::string &requestId, int status, const std::string &body,
+                        const LoopService::Reply &reply)
+{
+    m_running--;
+    reply(sealed(status, requestId, body));
+}
+
+/** A run of a chain lasts as long as the call that it makes. */
+void AppStandin::callNext(const HttpRequest &request, const LoopService::Reply &reply)
+{
+    const std::string requestId(request.headers.get(fields().requestId));
+    const Duration left{
+        std::strtoll(std::string(request.headers.get(fields().deadline)).c_str(), nullptr, 10)};
+    HttpRequest onwards;
+    const std::size_t mark = request.path.find('?');
+    onwards.path
+        = "/" + m_options.next + "/" + (mark == std::string::npos ? "" : request.path.substr(mark));
+    onwards.headers.add("Host", m_options.next + ".bench");
+    onwards.headers.add(fields().requestId, requestId + "." + m_options.next);
+    onwards.headers.add(fields().deadline, std::to_string(left.ms));
+    std::unique_ptr<StoreClient> client;
+    if (m_idle.empty()) {
+        client = std::make_unique<StoreClient>(m_loop, m_options.calls, m_options.listen.ip);
+    } else {
+        client = std::move(m_idle.back());
+        m_idle.pop_back();
+    }
+    StoreClient *const calling = client.release();
+    calling->call(onwards, left,
+                  [this, calling, requestId, reply,
+                   body = request.path + "\n" + request.body](const Result<HttpResponse> &answer) {
+                      m_idle.emplace_back(calling);
+                      const bool good = answer && answer.value().status == OK;
+                      finish(requestId, good ? OK : FAILED, body, reply);
+                  });
+}
+
 } // namespace cornelwell
--- a/standin/app_standin.h
+++ b/standin/app_standin.h
@@ -5,7 +5,9 @@
 #include "node/store_client.h"
 
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace cornelwell {
 
@@ -19,13 +21,16 @@
     Endpoint reports;        ///< Where its daemon takes reports.
     unsigned slots = 4;      ///< Requests at once.
     Duration work = {20};    ///< Time of a request; `?work=MS` names another.
+    std::string next;        ///< Service that each run calls before it answers; empty for none.
+    Endpoint calls;          ///< Where its daemon takes such calls.
     Duration drain = {1000}; ///< From the acknowledged report that it leaves to its end.
 };
 
 /**
  * Runs requests and reports to its daemon. `?fail=1` answers 500, `?cut=1` breaks the connection,
  * `?other=1` answers under another request's identifier first. `/standin/records` tells how often
- * each request was run.
+ * each request was run. `?deepfail=1` fails at the last service of a chain. With a next service
+ * each run calls it, and fails when that call fails.
  */
 class AppStandin
 {
@@ -40,6 +45,9 @@
 private:
     void handle(const HttpRequest &request, const LoopService::Reply &reply);
     void run(const HttpRequest &request, const LoopService::Reply &reply);
+    void callNext(const HttpRequest &request, const LoopService::Reply &reply);
+    void finish(const std::string &requestId, int status, const std::string &body,
+                const LoopService::Reply &reply);
     void report();
     HttpResponse sealed(int status, const std::string &requestId, std::string body) const;
 
@@ -47,6 +55,7 @@
     const AppStandinOptions m_options;
     LoopService m_service;
     StoreClient m_daemon;
+    std::vector<std::unique_ptr<StoreClient>> m_idle; ///< Connections for calls onwards.
     std::map<std::string, unsigned> m_runs;
     std::map<std::string, std::string> m_callers;
     std::int64_t m_born;
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -162,7 +162,9 @@
         "service", "Service", cxxopts::value<std::string>())("zone", "Data centre",
                                                              cxxopts::value<std::string>())(
         "slots", "Requests at once", cxxopts::value<unsigned>()->default_value("4"))(
-        "work-ms", "Time of a request", cxxopts::value<std::int64_t>()->default_value("20"));
+        "work-ms", "Time of a request", cxxopts::value<std::int64_t>()->default_value("20"))(
+        "next", "Service that each run calls", cxxopts::value<std::string>()->default_value(""))(
+        "calls", "Where its daemon takes calls", cxxopts::value<std::string>());
     const auto parsed = options.parse(argc, argv);
     const auto listen = parseEndpoint(parsed["listen"].as<std::string>());
     const auto reports = parseEndpoint(parsed["reports"].as<std::string>());
@@ -178,6 +180,15 @@
     app.reports = reports.value();
     app.slots = parsed["slots"].as<unsigned>();
     app.work = {parsed["work-ms"].as<std::int64_t>()};
+    app.next = parsed["next"].as<std::string>();
+    if (!app.next.empty()) {
+        const auto calls = parseEndpoint(parsed["calls"].as<std::string>());
+        if (!calls) {
+            std::cerr << "an address cannot be used\n";
+            return EXIT_FAILURE;
+        }
+        app.calls = calls.value();
+    }
     EventLoop loop;
     AppStandin standin(loop, app);
     if (!standin.start()) {
