Codechange: fleet, spread: first reads and lists may be stale; fewer versions kept

Each daemon listed the others and read the routes once by a linearizable read at its start; each kept eight versions of 1,300 routes to make differences from, though only watchers push.

Ruled out: processor time (spread thin over the way of a call: decoding 7 %, choice 3 %, logs 4 %; idle daemons take a quarter of it).

Change: lists are stale, and repeated three times within about four seconds of the start, since daemons that start together may not see each other at first; the first read of the routes is stale too, as peers tell what is newer and a watch goes on from its revision. Watchers keep four versions, others one.

--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -15,7 +15,7 @@
     m_callOpen = true;
     if (m_step == Step::Announce)
         return {AnnounceSelf{m_ownRevision}};
-    return {ListDaemons{m_after, m_everListed}};
+    return {ListDaemons{m_after}};
 }
 
 void Directory::failed(TimePoint now)
@@ -65,10 +65,11 @@
         return next();
     }
     m_callOpen = false;
-    m_everListed = true;
     m_step = Step::Settled;
     m_after.clear();
-    m_nextCall = now + m_random.jitter(m_options.lookAgain);
+    // The first lists may be older than announcements of daemons that started at the same time.
+    const bool settling = m_lists++ < m_options.settlingLists;
+    m_nextCall = now + m_random.jitter(settling ? m_options.settling : m_options.lookAgain);
     return {};
 }
 
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -40,8 +40,7 @@
 /** List announcements; the answer comes as listed. */
 struct ListDaemons
 {
-    std::string after;  ///< Begin behind this name.
-    bool stale = false; ///< An answer that is seconds old will do.
+    std::string after; ///< Begin behind this name; an answer that is seconds old will do.
 };
 /** An action of the directory. */
 using DirectoryAction = std::variant<AnnounceSelf, ListDaemons>;
@@ -52,7 +51,9 @@
 {
     Duration retryMin = {100};    ///< First pause after a failed call.
     Duration retryMax = {2000};   ///< Longest pause.
-    Duration lookAgain = {12000}; ///< Pause between lists that may be stale.
+    Duration lookAgain = {12000}; ///< Pause between lists.
+    Duration settling = {1200};   ///< Pause between the first ones,
+    unsigned settlingLists = 3;   ///< of which there are so many.
 };
 
 /**
@@ -92,7 +93,7 @@
     Random m_random;
     Step m_step = Step::Announce;
     bool m_callOpen = false;
-    bool m_everListed = false;
+    unsigned m_lists = 0; ///< Whole lists so far.
     std::uint64_t m_ownRevision = 0;
     std::string m_after;
     Duration m_pause{0};
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -44,7 +44,7 @@
     virtual HttpResponse acknowledgement() const = 0;
 
     /** @return the call that reads the newest document. */
-    virtual HttpRequest readRoutes() const = 0;
+    virtual HttpRequest readRoutes(bool stale) const = 0;
     /** @return its answer, read. */
     virtual Result<StoredRoutes> routesRead(const HttpResponse &response) const = 0;
     /** @return the call that watches for a newer document. */
@@ -57,7 +57,7 @@
     /** @return its answer, read. */
     virtual Result<AnnounceAnswer> announced(const HttpResponse &response) const = 0;
     /** @return the call that lists announcements. */
-    virtual HttpRequest listDaemons(const std::string &after, bool stale) const = 0;
+    virtual HttpRequest listDaemons(const std::string &after) const = 0;
     /** @return its answer, read. */
     virtual Result<DaemonPage> daemonsListed(const HttpResponse &response) const = 0;
 };
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -242,15 +242,16 @@
         std::visit([this](const auto &one) { perform(one); }, action);
 }
 
-void ProxyNode::perform(const ReadRoutes &)
+void ProxyNode::perform(const ReadRoutes &action)
 {
-    m_watchStore.call(
-        m_adapter.readRoutes(), READ_TIMEOUT, [this](const Result<HttpResponse> &answer) {
-            const Result<StoredRoutes> read
-                = answer ? m_adapter.routesRead(answer.value())
-                         : Result<StoredRoutes>(boost::outcome_v2::failure(answer.error()));
-            perform(m_spread.readAnswered(read, m_loop.now()));
-        });
+    m_watchStore.call(m_adapter.readRoutes(action.stale), READ_TIMEOUT,
+                      [this](const Result<HttpResponse> &answer) {
+                          const Result<StoredRoutes> read
+                              = answer ? m_adapter.routesRead(answer.value())
+                                       : Result<StoredRoutes>(
+                                           boost::outcome_v2::failure(answer.error()));
+                          perform(m_spread.readAnswered(read, m_loop.now()));
+                      });
 }
 
 void ProxyNode::perform(const WatchRoutes &action)
@@ -334,7 +335,7 @@
 
 void ProxyNode::perform(const ListDaemons &action)
 {
-    m_store.call(m_adapter.listDaemons(action.after, action.stale), STORE_TIMEOUT,
+    m_store.call(m_adapter.listDaemons(action.after), STORE_TIMEOUT,
                  [this](const Result<HttpResponse> &answer) {
                      const Result<DaemonPage> read
                          = answer ? m_adapter.daemonsListed(answer.value())
--- a/src/spread/route_spread.cpp
+++ b/src/spread/route_spread.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr Duration NEVER_HEARD{1'000'000'000};
-constexpr std::size_t RECENT_MAX = 8; ///< Versions kept to make updates from.
-constexpr Duration PUSH_AGAIN{1500};  ///< A peer that did not take a version is sent it again.
-constexpr Duration READ_AGAIN{1000};  ///< Pause before a daemon that is still behind reads again.
+constexpr std::size_t RECENT_WATCHING = 4; ///< Versions kept to make updates from, by who pushes,
+constexpr std::size_t RECENT_OTHERS = 1;   ///< and by others.
+constexpr Duration PUSH_AGAIN{1500};       ///< A peer that did not take a version is sent it again.
+constexpr Duration READ_AGAIN{1000}; ///< Pause before a daemon that is still behind reads again.
 
 } // namespace
 
@@ -22,7 +23,7 @@
 {
     m_started = now;
     m_callOpen = true;
-    return {ReadRoutes{}};
+    return {ReadRoutes{true}};
 }
 
 Duration RouteSpread::storeAge(TimePoint now) const
@@ -140,7 +141,7 @@
     const bool known = newestTold() >= table->version();
     if (m_table)
         m_recent.push_back(m_table);
-    if (m_recent.size() > RECENT_MAX)
+    while (m_recent.size() > (m_watching ? RECENT_WATCHING : RECENT_OTHERS))
         m_recent.pop_front();
     m_table = table;
     m_pushAt.clear();
--- a/src/spread/route_spread_type.h
+++ b/src/spread/route_spread_type.h
@@ -23,7 +23,9 @@
 
 /** Read the newest document from the store; the answer comes as readAnswered. */
 struct ReadRoutes
-{};
+{
+    bool stale = false; ///< An answer that is seconds old will do: peers tell what is newer.
+};
 /** Watch the store; the answer comes as watchAnswered. */
 struct WatchRoutes
 {
