Feature: sim: frozen VMs, one-way cuts, lossy links, a store that is down or turns daemons away

Cause: the model lacked loss, one-way cuts, frozen machines and outages of the store (issue on rules under disturbance); how a daemon that the store turns away gets versions was tested in the decision alone.

Ruled out: clock jumps: decisions know one steady clock, which no jump reaches.

Change: five disturbances. What a VM does later waits while it stands still; a muted daemon hears its peers while what it sends is lost, and its links end when nothing is acknowledged; a turned-away daemon asks its peers. The check of answers after their deadline leaves out a daemon that stood still at the deadline, by the model's own record of when it woke. New check: where each VM can reach the store or a peer, versions are in force within two seconds.

--- a/sim/fleet_model.h
+++ b/sim/fleet_model.h
@@ -103,9 +103,14 @@
     };
 
     void at(Duration delay, std::function<void()> run);
+    void atNode(std::size_t index, Duration delay, std::function<void()> run);
     void startNode(std::size_t index);
     void killNode(std::size_t index);
     bool connected(std::size_t a, std::size_t b) const;
+    bool linkable(std::size_t a, std::size_t b) const;
+    Result<StoredRoutes> storeAnswer(std::size_t index, bool watch);
+    void disturbNetwork(std::size_t some, Duration length);
+    void disturbStore(Duration length);
     void send(std::size_t from, std::size_t to, std::function<void()> deliver);
     void links(std::size_t index);
     void tick(std::size_t index);
@@ -141,6 +146,13 @@
     std::vector<Try> m_tries;
     std::optional<std::size_t> m_cut; ///< Data centre that is cut off.
     bool m_loseAnswers = false;
+    std::map<std::size_t, TimePoint> m_thaw; ///< VMs that stand still, and until when.
+    std::set<std::size_t> m_mute;            ///< Daemons whose messages to others are lost.
+    TimePoint m_muteSince{0};
+    bool m_lossy = false;
+    std::set<std::size_t> m_turnedAway; ///< Daemons that the store does not serve.
+    bool m_storeDown = false;
+    bool m_historyGone = false; ///< Watches from before have to read anew.
     double m_burst = 1;
     double m_arrivalRest = 0; ///< Part of a millisecond until the next caller.
     FlightId m_lastFlight = 0;
--- a/sim/model_type.h
+++ b/sim/model_type.h
@@ -22,6 +22,11 @@
     Leave,       ///< Servers leave one after the other, in order, and are replaced.
     Overload,    ///< Twice the calls that the servers can run.
     LoseAnswers, ///< Servers run requests and their answers are lost.
+    Freeze,      ///< A quarter of the VMs stands still and wakes again.
+    OneWay,      ///< What a quarter of the daemons sends to others is lost; they still hear them.
+    Lossy,       ///< One message of ten comes late, as when packets are sent again.
+    StoreAway,   ///< The store turns a third of the daemons away.
+    StoreDown,   ///< The store answers nobody, and forgets its history.
     Count,       ///< Number of disturbances; not one.
 };
 
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -20,6 +20,12 @@
                 CHECK(broken == "");
             CHECK(report.asked > 1000);
             CHECK(report.inGoal + report.late > report.asked / 2);
+            // Each VM that can reach the store or a peer has a version within two seconds.
+            const bool reached = options.disturbance != Disturbance::CutCentre
+                                 && options.disturbance != Disturbance::OneWay
+                                 && options.disturbance != Disturbance::Freeze
+                                 && options.disturbance != Disturbance::KillDaemons;
+            CHECK((!reached || report.spreadMs <= 2000));
         }
     }
 }
