--- a/sim/fleet_model.cpp
+++ b/sim/fleet_model.cpp
@@ -111,7 +111,7 @@
     node.dispatcher = std::make_unique<Dispatcher>(
         *node.table, *node.budget, [this, index] { return m_nodes[index].gate->load(m_now); },
         m_options.dispatch, m_random.bits());
-    node.spread = std::make_unique<RouteSpread>(*node.table, SpreadOptions(), m_random.bits());
+    node.spread = std::make_unique<RouteSpread>(*node.table, m_options.spread, m_random.bits());
     node.lost.clear();
     node.known.clear();
     for (std::size_t i = 0; i < m_nodes.size(); i++) {
@@ -345,6 +345,7 @@
     if (m_storeDown)
         return;
     m_version += 1 + m_random.below(3);
+    m_document.routes.front().goal = {static_cast<std::int64_t>(1000 + m_version)};
     m_changedAt = m_now;
     m_behind.clear();
     for (std::size_t i = 0; i < m_nodes.size(); i++) {
--- a/sim/model_type.h
+++ b/sim/model_type.h
@@ -4,6 +4,7 @@
 #include "base/clock_type.h"
 #include "dispatch/dispatcher.h"
 #include "hosting/host_gate.h"
+#include "spread/route_spread_type.h"
 
 #include <cstdint>
 #include <string>
@@ -45,6 +46,7 @@
     Disturbance disturbance = Disturbance::None; ///< What happens in its middle third.
     DispatchOptions dispatch;                    ///< Policy of the sending daemons.
     HostOptions host;                            ///< Policy of the hosting daemons.
+    SpreadOptions spread;                        ///< How versions spread.
 };
 
 /** What callers, servers and operators saw of a day. */
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -30,6 +30,19 @@
     }
 }
 
+TEST_CASE("daemons that the store turns away ask for versions that are too large to push", "[sim]")
+{
+    ModelOptions options;
+    options.disturbance = Disturbance::StoreAway;
+    options.spread.copiesMax = 0;
+    for (std::uint64_t seed = 1; seed <= 3; seed++) {
+        options.seed = seed;
+        const ModelReport report = playDay(options);
+        CHECK(report.broken.empty());
+        CHECK(report.spreadMs <= 2000);
+    }
+}
+
 TEST_CASE("a calm modelled day is served in time, the same each time", "[sim]")
 {
     ModelOptions options;
