--- a/bench/proxy_fleet.cpp
+++ b/bench/proxy_fleet.cpp
@@ -1,7 +1,7 @@
 /** @file proxy_fleet.cpp Addresses, start and look-ups of a fleet on the event loop. */
 #include "proxy_fleet.h"
 
-#include "../standin/platform_words.h"
+#include "standin/platform_words.h"
 
 #include "base/clock.h"
 #include "base/endpoint_func.h"
--- a/sim/fleet_model.cpp
+++ b/sim/fleet_model.cpp
@@ -11,34 +11,19 @@
 
 namespace {
 
-constexpr const char *NAMES[]
-    = {"none",         "kill",   "cut",     "slow",  "crash",      "leave",     "overload",
-       "lost-answers", "freeze", "one-way", "lossy", "store-away", "store-down"};
-static_assert(std::size(NAMES) == static_cast<std::size_t>(Disturbance::Count),
-              "a name for each disturbance");
-
 constexpr Duration TICK{200};
 constexpr Duration REPORT{1500};
 constexpr std::uint64_t LATE_PER_MILLE = 100;
 constexpr Duration SENT_AGAIN{300};     ///< How late such a message is.
 constexpr Duration SILENCE{1700};       ///< A broken link is noticed after this.
 constexpr Duration STORE_TIMEOUT{1200}; ///< A call of a silent store is given up after this.
-constexpr Duration FROZEN{3000};        ///< A VM stands still for about this long.
-constexpr Duration FORGOTTEN{1500};     ///< Watches of before an outage are refused for this long.
 constexpr Duration RESTART{700};        ///< A killed daemon is back after this.
-constexpr Duration DRAIN{
-    2000}; ///< No hand-over later than this after a server said that it leaves.
-constexpr Duration WARM_UP{2000};    ///< Daemons find each other before callers come.
-constexpr double BUDGET_RATIO = 0.2; ///< Repeats allowed by the rules: this share of requests
-constexpr double BUDGET_SLACK = 64;  ///< and this many.
+constexpr Duration WARM_UP{2000};       ///< Daemons find each other before callers come.
+constexpr double BUDGET_RATIO = 0.2;    ///< Repeats allowed by the rules: this share of requests
+constexpr double BUDGET_SLACK = 64;     ///< and this many.
 
 } // namespace
 
-const char *disturbanceName(Disturbance disturbance)
-{
-    return NAMES[static_cast<std::size_t>(disturbance)];
-}
-
 FleetModel::FleetModel(const ModelOptions &options)
     : m_options(options), m_random(options.seed), m_end(m_now + options.length)
 {
@@ -339,6 +324,13 @@
     }
 }
 
+/** A version that some daemons still lack when the next one comes counts with its age. */
+void FleetModel::noteSpread()
+{
+    if (!m_behind.empty())
+        m_report.spreadMs = std::max(m_report.spreadMs, (m_now - m_changedAt).ms);
+}
+
 void FleetModel::change()
 {
     // The operator waits while the store does not answer.
@@ -346,6 +338,7 @@
         return;
     m_version += 1 + m_random.below(3);
     m_document.routes.front().goal = {static_cast<std::int64_t>(1000 + m_version)};
+    noteSpread();
     m_changedAt = m_now;
     m_behind.clear();
     for (std::size_t i = 0; i < m_nodes.size(); i++) {
@@ -354,124 +347,6 @@
     }
 }
 
-void FleetModel::crashServer(std::size_t index)
-{
-    Node &node = m_nodes[index];
-    node.server.up = false;
-    node.server.starts++;
-    const std::set<HostCallId> running = node.running;
-    for (const HostCallId id : running)
-        endRun(index, id, RunState::Unknown, 0);
-    if (node.up)
-        carryOut(index, node.gate->serverDown(m_now));
-    at(seconds(3), [this, index] {
-        Node &back = m_nodes[index];
-        back.server.up = true;
-        back.server.leaving = false;
-        back.server.leftAt = NEVER;
-        back.server.instance += "n";
-    });
-}
-
-void FleetModel::replaceServer(std::size_t index)
-{
-    m_nodes[index].server.leaving = true;
-    if (m_nodes[index].up)
-        report(index, true);
-    at(DRAIN + seconds(1), [this, index] {
-        Node &node = m_nodes[index];
-        if (node.up)
-            carryOut(index, node.gate->leave(node.server.instance, node.server.starts + 1, m_now));
-        crashServer(index);
-    });
-}
-
-void FleetModel::disturb()
-{
-    const Duration third = m_options.length / 3;
-    const std::size_t some = std::max<std::size_t>(1, m_nodes.size() / 4);
-    switch (m_options.disturbance) {
-    case Disturbance::KillDaemons:
-        for (std::size_t i = 0; i < some; i++)
-            killNode((i * 3 + m_options.seed) % m_nodes.size());
-        break;
-    case Disturbance::CutCentre:
-        m_cut = m_options.seed % m_options.centres;
-        at(third, [this] { m_cut.reset(); });
-        break;
-    case Disturbance::SlowServers:
-        for (std::size_t i = 0; i < some; i++)
-            m_nodes[i].server.slow = 5;
-        at(third, [this] {
-            for (Node &node : m_nodes)
-                node.server.slow = 1;
-        });
-        break;
-    case Disturbance::CrashServer:
-        for (std::size_t i = 0; i < some; i++)
-            crashServer((i * 5 + m_options.seed) % m_nodes.size());
-        break;
-    case Disturbance::Leave:
-        for (std::size_t i = 0; i < some; i++)
-            at(seconds(static_cast<std::int64_t>(i)),
-               [this, i] { replaceServer((i * 2 + m_options.seed) % m_nodes.size()); });
-        break;
-    case Disturbance::Overload:
-        m_burst = 2 / m_options.load;
-        at(third, [this] { m_burst = 1; });
-        break;
-    case Disturbance::LoseAnswers:
-        m_loseAnswers = true;
-        at(third, [this] { m_loseAnswers = false; });
-        break;
-    case Disturbance::Freeze:
-    case Disturbance::OneWay:
-    case Disturbance::Lossy:
-        disturbNetwork(some, third);
-        break;
-    case Disturbance::StoreAway:
-    case Disturbance::StoreDown:
-        disturbStore(third);
-        break;
-    case Disturbance::None:
-    case Disturbance::Count:
-        break;
-    }
-}
-
-void FleetModel::disturbNetwork(std::size_t some, Duration length)
-{
-    std::set<std::size_t> chosen;
-    for (std::size_t i = 0; i < some; i++)
-        chosen.insert((i * 3 + m_options.seed) % m_nodes.size());
-    if (m_options.disturbance == Disturbance::Freeze) {
-        for (std::size_t index : chosen)
-            m_thaw[index] = m_now + m_random.jitter(FROZEN);
-    } else if (m_options.disturbance == Disturbance::OneWay) {
-        m_mute = chosen;
-        m_muteSince = m_now;
-        at(length, [this] { m_mute.clear(); });
-    } else {
-        m_lossy = true;
-        at(length, [this] { m_lossy = false; });
-    }
-}
-
-void FleetModel::disturbStore(Duration length)
-{
-    m_storeDown = m_options.disturbance == Disturbance::StoreDown;
-    for (std::size_t i = 0; !m_storeDown && i < m_nodes.size(); i++) {
-        if ((i + m_options.seed) % 3 == 0)
-            m_turnedAway.insert(i);
-    }
-    at(length, [this] {
-        m_storeDown = false;
-        m_turnedAway.clear();
-        m_historyGone = true;
-        at(FORGOTTEN, [this] { m_historyGone = false; });
-    });
-}
-
 ModelReport FleetModel::play()
 {
     const auto steps = static_cast<std::int64_t>(m_options.length.ms);
@@ -487,6 +362,7 @@
         m_now = {event.at};
         event.run();
     }
+    noteSpread();
     const double requests = m_report.asked;
     const double windows = std::max(1.0, static_cast<double>((m_end - start).ms) / 10000);
     if (m_report.repeats > requests * BUDGET_RATIO + BUDGET_SLACK * windows)
--- a/sim/fleet_model.h
+++ b/sim/fleet_model.h
@@ -18,6 +18,9 @@
 
 namespace cornelwell {
 
+/** No hand-over later than this after a server said that it leaves. */
+constexpr Duration DRAIN{2000};
+
 /** One fleet on one day. */
 class FleetModel
 {
@@ -132,6 +135,7 @@
     void replaceServer(std::size_t index);
     void disturb();
     void change();
+    void noteSpread();
     void broken(const std::string &what);
     std::optional<std::size_t> indexOf(const ServerId &name) const;
 
--- a/sim/fleet_model_calls.cpp
+++ b/sim/fleet_model_calls.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr Duration DRAIN{
-    2000}; ///< No hand-over later than this after a server said that it leaves.
 constexpr Duration ANSWER_SLACK{
     30}; ///< A request is answered this long after its deadline at the latest.
 constexpr double MEAN_WORK_MS = 180; ///< Of a request at a server of speed 1.
--- a/src/distribution/tests/distribution_test.cpp
+++ b/src/distribution/tests/distribution_test.cpp
@@ -1,4 +1,5 @@
 /** @file distribution_test.cpp When a version is held and when it is put into force. */
+#include "catalogue/head_func.h"
 #include "distribution/catalogue_writer.h"
 #include "distribution/distribution.h"
 #include "fake_store.h"
@@ -98,6 +99,20 @@
     CHECK(distribution.current()->revision() == 3);
 }
 
+TEST_CASE("a snapshot read from the platform that a peer has overtaken changes nothing",
+          "[distribution]")
+{
+    Distribution distribution(DistributionOptions(), 1);
+    distribution.linkOpened(7);
+    std::vector<std::string> texts;
+    for (const SnapshotChunk &chunk : encodeSnapshot(*Configuration::build(3, {}).value(), "p"))
+        texts.push_back(chunk.text);
+    CHECK(appliedIn(distribution.receive(7, SnapshotMessage{5, {}, {}}, START)) == 5);
+    CHECK(appliedIn(distribution.chunksRead(3, texts, START + seconds(1))) == 0);
+    CHECK(distribution.heldRevision() == 5);
+    CHECK(distribution.current()->revision() == 5);
+}
+
 TEST_CASE("an older snapshot of a peer changes nothing", "[distribution]")
 {
     Distribution distribution(DistributionOptions(), 1);
