Fix: routes: a kind that is not known no longer stops the whole version

Ruled out: dropping the route alone. Its requests would fall to a route with a shorter prefix, so to another service. One log line and a counter for each. The reading goes with updates between daemons and into the digest.

--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -19,12 +19,12 @@
 constexpr Duration DEREGISTRATION_KEPT{20000};  ///< Delayed reports are ignored for this long.
 constexpr std::size_t DEREGISTRATIONS_MAX = 64; ///< Deregistrations kept; bounds memory.
 
-constexpr const char *REASON_NAMES[] = {"none",           "full",        "busier",
-                                        "too_late",       "no_server",   "server_draining",
-                                        "daemon_leaving", "server_shed", "instance_changed",
-                                        "connect_failed", "broken",      "garbled",
-                                        "link_lost",      "cancelled",   "quarantined",
-                                        "forgotten"};
+constexpr const char *REASON_NAMES[] = {"none",           "full",          "busier",
+                                        "too_late",       "no_server",     "server_draining",
+                                        "daemon_leaving", "server_shed",   "instance_changed",
+                                        "connect_failed", "broken",        "garbled",
+                                        "link_lost",      "cancelled",     "quarantined",
+                                        "forgotten",      "route_unusable"};
 static_assert(std::size(REASON_NAMES) == static_cast<std::size_t>(HostReason::Count),
               "a name for each reason");
 
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -35,6 +35,7 @@
     Cancelled,       ///< The sender cancelled the call; the caller may have disconnected.
     Quarantined,     ///< Requests with this fingerprint crashed servers.
     Forgotten,       ///< The hosting daemon has no record of the call.
+    RouteUnusable,   ///< The daemon does not understand the route.
     Count,           ///< Number of reasons; not a reason.
 };
 
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -127,9 +127,16 @@
         parts.push_back(part.service.text());
         parts.push_back(part.weight);
     }
-    return {route.name,       route.host,        route.prefix,
-            route.idempotent, route.timeout.ms,  route.latencyTarget.ms,
-            route.priority,   route.attemptsMax, parts};
+    return {route.name,
+            route.host,
+            route.prefix,
+            route.idempotent,
+            route.timeout.ms,
+            route.latencyTarget.ms,
+            route.priority,
+            route.attemptsMax,
+            parts,
+            static_cast<unsigned>(route.reading)};
 }
 
 Route routeFromJson(const Json &list)
@@ -147,6 +154,9 @@
     for (std::size_t i = 0; i + 1 < parts.size(); i += 2)
         route.split.push_back(
             {ServiceName(parts[i].get<std::string>()), parts[i + 1].get<unsigned>()});
+    if (list.size() > 9)
+        route.reading = static_cast<RouteReading>(list.at(9).get<unsigned>()
+                                                  % static_cast<unsigned>(RouteReading::Count));
     return route;
 }
 
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -280,6 +280,17 @@
         fields.add("source", action.source);
         fields.add("routes", std::uint64_t{action.table->routes().size()});
     });
+    for (const Route &route : action.table->routes()) {
+        if (route.reading == RouteReading::Whole)
+            continue;
+        m_metrics.count("routes_not_understood_total",
+                        std::string("reading=\"") + routeReadingName(route.reading) + "\"");
+        m_log.logStateChange("route_not_understood", [&](LogFields &fields) {
+            fields.add("route", route.name);
+            fields.add("reading", routeReadingName(route.reading));
+            fields.add("version", action.table->version());
+        });
+    }
 }
 
 void ProxyNode::perform(const AnnounceVersion &action)
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -18,6 +18,8 @@
 constexpr double MS_PER_SECOND = 1000;
 /** Retry-After of local replies while the daemon has no routes. */
 constexpr Duration NO_ROUTES_RETRY_AFTER{300};
+/** Retry-After for a route that is not understood; only a new version can change that. */
+constexpr Duration UNUSABLE_ROUTE_RETRY_AFTER{1000};
 /** Retry-After during shutdown; short, because other daemons serve. */
 constexpr Duration SHUTDOWN_RETRY_AFTER{20};
 /** Time until the next attempt to hedge, when no second server had room. */
@@ -137,6 +139,11 @@
         return;
     }
     pending.route = route->name;
+    if (route->reading == RouteReading::Unusable) {
+        sendLocalReply(
+            {id, SERVICE_UNAVAILABLE, HostReason::RouteUnusable, UNUSABLE_ROUTE_RETRY_AFTER});
+        return;
+    }
     RequestAttributes attributes = attributesOf(session, request, *route);
     pending.fingerprint = attributes.fingerprint;
     pending.softDeadline = attributes.softDeadline;
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 
 namespace cornelwell {
 
@@ -12,6 +13,10 @@
 
 constexpr std::int64_t TIMEOUT_MAX_MS = 3'600'000; ///< Longest timeout of a route.
 
+constexpr const char *READING_NAMES[] = {"whole", "kind_unknown", "unusable"};
+static_assert(std::size(READING_NAMES) == static_cast<std::size_t>(RouteReading::Count),
+              "a name for each value");
+
 std::string lowerCase(std::string_view text)
 {
     std::string lower(text);
@@ -35,6 +40,8 @@
     if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
         return fail(ResultCode::RouteInvalid, "the prefix does not begin and end with a slash",
                     where);
+    if (route.reading == RouteReading::Unusable)
+        return success();
     if (route.timeout.ms <= 0 || route.timeout.ms > TIMEOUT_MAX_MS)
         return fail(ResultCode::RouteInvalid, "the timeout is not above 0 or exceeds one hour",
                     where);
@@ -58,6 +65,7 @@
     append(route.latencyTarget.ms);
     append(route.priority);
     append(route.attemptsMax);
+    append(static_cast<std::int64_t>(route.reading));
     for (const WeightedService &share : route.split) {
         text += ' ' + share.service.text();
         append(share.weight);
@@ -67,6 +75,11 @@
 
 } // namespace
 
+const char *routeReadingName(RouteReading reading)
+{
+    return READING_NAMES[static_cast<std::size_t>(reading)];
+}
+
 std::string routeKey(const Route &route)
 {
     return makeKey(route.host, route.prefix);
--- a/src/routes/route_type.h
+++ b/src/routes/route_type.h
@@ -22,6 +22,18 @@
     }
 };
 
+/** How much of a route in the store's document this daemon understands. */
+enum class RouteReading : std::uint8_t
+{
+    Whole,       ///< All of it.
+    KindUnknown, ///< All but its kind; it is served as a route that is not idempotent.
+    Unusable,    ///< Host and prefix only; its requests are refused and have not run.
+    Count,       ///< Number of values; not a value.
+};
+
+/** @return the name of the value, for logs. */
+const char *routeReadingName(RouteReading reading);
+
 /** How requests for one host and path prefix are routed. */
 struct Route
 {
@@ -34,13 +46,14 @@
     unsigned priority = 0;              ///< Priority class; 0 is the highest.
     unsigned attemptsMax = 1;           ///< Upper limit of servers that one request is sent to.
     std::vector<WeightedService> split; ///< Services that share the requests; at least one.
+    RouteReading reading = RouteReading::Whole; ///< What this daemon understands of the route.
 
     friend bool operator==(const Route &a, const Route &b)
     {
         return a.name == b.name && a.host == b.host && a.prefix == b.prefix
                && a.idempotent == b.idempotent && a.timeout == b.timeout
                && a.latencyTarget == b.latencyTarget && a.priority == b.priority
-               && a.attemptsMax == b.attemptsMax && a.split == b.split;
+               && a.attemptsMax == b.attemptsMax && a.split == b.split && a.reading == b.reading;
     }
 };
 
--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -74,6 +74,20 @@
     CHECK(buildResult(makeDocument(1, {withoutWeight})) == ResultCode::RouteInvalid);
 }
 
+TEST_CASE("an unusable route keeps its requests from a shorter prefix, on every daemon", "[routes]")
+{
+    Route unusable = makeRoute("/a/b/");
+    unusable.reading = RouteReading::Unusable;
+    unusable.split.clear();
+    unusable.timeout = {0};
+    const auto table = RouteTable::build(makeDocument(1, {makeRoute("/a/"), unusable})).value();
+    REQUIRE(table->match("desk.example", "/a/b/c") != nullptr);
+    CHECK(table->match("desk.example", "/a/b/c")->reading == RouteReading::Unusable);
+    CHECK(table->match("desk.example", "/a/c")->reading == RouteReading::Whole);
+    const auto copy = applyRouteUpdate(nullptr, makeRouteUpdate(nullptr, *table)).value();
+    CHECK(copy->match("desk.example", "/a/b/c")->reading == RouteReading::Unusable);
+}
+
 TEST_CASE("a split is exact over every full round, from any start position", "[routes]")
 {
     Route split = makeRoute("/a/");
