--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,6 +1,8 @@
 /** @file dispatcher.cpp Handling of the events of a pending request. */
 #include "dispatch/dispatcher.h"
 
+#include "bandwidth/output_scheduler.h"
+
 #include <algorithm>
 
 namespace cornelwell {
@@ -82,9 +84,20 @@
         request.transferKb += statistics->second.responseKb;
         request.meanWorkMs = statistics->second.workMs;
     }
+    request.bulkBytes = expectedBulkBytes(pending);
     return request;
 }
 
+/** @return expected size of the answer when it is large, else 0. */
+std::uint64_t Dispatcher::expectedBulkBytes(const PendingRequest &pending) const
+{
+    const auto statistics = m_routeStatistics.find(pending.attributes.route->name);
+    if (statistics == m_routeStatistics.end())
+        return 0;
+    const double bytes = statistics->second.responseKb * BYTES_PER_KB;
+    return bytes < BULK_BYTES_MIN ? 0 : static_cast<std::uint64_t>(bytes);
+}
+
 void Dispatcher::offerToBestServer(PendingRequestId id, PendingRequest &pending, TimePoint now,
                                    DispatchActions &actions)
 {
@@ -110,10 +123,14 @@
                            Duration queueWaitMax, DispatchActions &actions)
 {
     const OfferId offer = ++m_lastOffer;
-    pending.openOffers.push_back({offer, chosen.daemon, false, !pending.openOffers.empty()});
+    const std::uint64_t bulkBytes = expectedBulkBytes(pending);
+    pending.openOffers.push_back(
+        {offer, chosen.daemon, false, bulkBytes, !pending.openOffers.empty()});
     m_offers[offer] = id;
-    if (Peer *peer = m_table.find(chosen.daemon))
+    if (Peer *peer = m_table.find(chosen.daemon)) {
         peer->callsInFlight++;
+        peer->bulkBytesInFlight += bulkBytes;
+    }
     actions.push_back(SendOffer{id, offer, chosen.daemon, chosen.instance,
                                 rankOf(pending.attributes), queueWaitMax});
 }
@@ -161,6 +178,18 @@
     return actions;
 }
 
+std::uint64_t Dispatcher::bulkBytesOf(OfferId offer) const
+{
+    const auto found = m_offers.find(offer);
+    if (found == m_offers.end())
+        return 0;
+    for (const OpenOffer &open : m_pendingRequests.at(found->second).openOffers) {
+        if (open.id == offer)
+            return open.bulkBytes;
+    }
+    return 0;
+}
+
 Dispatcher::OpenOffer Dispatcher::closeOffer(PendingRequest &pending, OfferId offer)
 {
     m_offers.erase(offer);
@@ -171,8 +200,10 @@
     const OpenOffer closed = *found;
     pending.openOffers.erase(found);
     Peer *peer = m_table.find(closed.daemon);
-    if (peer != nullptr && peer->callsInFlight > 0)
+    if (peer != nullptr && peer->callsInFlight > 0) {
         peer->callsInFlight--;
+        peer->bulkBytesInFlight -= std::min(peer->bulkBytesInFlight, closed.bulkBytes);
+    }
     return closed;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -71,6 +71,8 @@
     DispatchActions endAll();
     /** @return the attributes of a request; null when it is not pending. */
     const RequestAttributes *attributes(PendingRequestId id) const;
+    /** @return expected size of an open offer's answer when it is large, in bytes, else 0. */
+    std::uint64_t bulkBytesOf(OfferId offer) const;
     /** @return number of pending requests. */
     std::size_t pendingCount() const { return m_pendingRequests.size(); }
 
@@ -79,9 +81,10 @@
     struct OpenOffer
     {
         OfferId id = 0;
-        ServerId daemon;         ///< Hosting daemon.
-        bool linkBroken = false; ///< The link to the daemon broke and is not open again.
-        bool isHedge = false;    ///< The request had another open offer when this one was sent.
+        ServerId daemon;             ///< Hosting daemon.
+        bool linkBroken = false;     ///< The link to the daemon broke and is not open again.
+        std::uint64_t bulkBytes = 0; ///< Expected size of a large answer, else 0.
+        bool isHedge = false;        ///< The request had another open offer when this one was sent.
     };
     /** A request that the caller waits for. */
     struct PendingRequest
@@ -102,6 +105,7 @@
     void offerToBestServer(PendingRequestId id, PendingRequest &pending, TimePoint now,
                            DispatchActions &actions);
     ChoiceRequest choiceRequestOf(const PendingRequest &pending, TimePoint now) const;
+    std::uint64_t expectedBulkBytes(const PendingRequest &pending) const;
     void sendOffer(PendingRequestId id, PendingRequest &pending, const Candidate &chosen,
                    Duration queueWaitMax, DispatchActions &actions);
     OpenOffer closeOffer(PendingRequest &pending, OfferId offer);
--- a/src/dispatch/server_choice.cpp
+++ b/src/dispatch/server_choice.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr double MS_PER_SECOND = 1000;
 constexpr double JITTER_STEPS = 1000;       ///< Number of values that the jitter can take.
 constexpr int WAIT_BISECTIONS = 7;          ///< Steps of the bisection for the longest wait.
 constexpr double WAIT_SEARCH_MAX_MS = 3000; ///< Upper bound of the bisection for the longest wait.
@@ -18,9 +19,11 @@
 {
     ServerId daemon;                ///< Hosting daemon.
     const HostLoad *load = nullptr; ///< Last reported load.
-    unsigned runningOrQueued = 0;   ///< Requests that the server runs or its daemon queues.
-    bool otherDataCentre = false;   ///< The server is in another data centre than this daemon.
-    bool unresponsive = false;      ///< The hosting daemon is unresponsive.
+    std::uint64_t linkBytes = 0;  ///< Large answers that leave over the VM's link before a new one.
+    bool overLink = false;        ///< The answer leaves over that link.
+    unsigned runningOrQueued = 0; ///< Requests that the server runs or its daemon queues.
+    bool otherDataCentre = false; ///< The server is in another data centre than this daemon.
+    bool unresponsive = false;    ///< The hosting daemon is unresponsive.
 };
 
 /**
@@ -36,6 +39,15 @@
     return std::max(reported + sentSince, peer.callsInFlight);
 }
 
+/** @return bytes of large answers committed at the peer, counted like runningOrQueuedAt(). */
+std::uint64_t linkBytesAt(const Peer &peer)
+{
+    const std::uint64_t sentSince = peer.bulkBytesInFlight > peer.bulkBytesInFlightAtReport
+                                        ? peer.bulkBytesInFlight - peer.bulkBytesInFlightAtReport
+                                        : 0;
+    return std::max(peer.load.linkBytesCommitted + sentSince, peer.bulkBytesInFlight);
+}
+
 std::vector<EligibleServer> eligibleServers(const PeerTable &table, const HostLoad &local,
                                             const ChoiceRequest &request, TimePoint now)
 {
@@ -45,10 +57,11 @@
                && request.excluded.count(name) == 0;
     };
     if (isEligible(local, table.self().name))
-        servers.push_back({table.self().name, &local, local.running + local.queued, false, false});
+        servers.push_back(
+            {table.self().name, &local, 0, false, local.running + local.queued, false, false});
     for (const auto &[name, peer] : table.peers()) {
         if (peer.linked && !peer.shuttingDown && isEligible(peer.load, name))
-            servers.push_back({name, &peer.load, runningOrQueuedAt(peer),
+            servers.push_back({name, &peer.load, linkBytesAt(peer), true, runningOrQueuedAt(peer),
                                peer.record.dataCentre != table.self().dataCentre,
                                !table.isResponsive(peer, now)});
     }
@@ -111,6 +124,13 @@
                        * (load.cold ? options.coldSlowdownFactor : 1)
                        * (1 + options.workJitter * (2 * jitterStep / JITTER_STEPS - 1));
     candidate.waitMs = occupancy > 1 ? serverMeanMs * (occupancy - 1) : 0;
+    if (server.overLink && request.bulkBytes > 0 && load.linkBytesPerSecond > 0) {
+        const double msPerByte = MS_PER_SECOND / static_cast<double>(load.linkBytesPerSecond);
+        // The link carries earlier answers while this request waits for a slot and runs.
+        candidate.waitMs = std::max(
+            candidate.waitMs, static_cast<double>(server.linkBytes) * msPerByte - candidate.workMs);
+        candidate.workMs += static_cast<double>(request.bulkBytes) * msPerByte;
+    }
     candidate.fixedLoss = options.failureLoss * load.failureRate;
     if (server.otherDataCentre)
         candidate.fixedLoss
--- a/src/dispatch/server_choice.h
+++ b/src/dispatch/server_choice.h
@@ -57,6 +57,7 @@
     double meanWorkMs = 0;       ///< Mean time of the route's requests, in ms; 0 when unknown.
     double softDeadlineMs = 0;   ///< Time left until the soft deadline, in milliseconds.
     double deadlineMs = 0;       ///< Time left until the deadline, in milliseconds.
+    std::uint64_t bulkBytes = 0; ///< Expected size of a large answer, in bytes, else 0.
 };
 
 /**
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace cornelwell;
 
 namespace {
@@ -87,6 +89,46 @@
     CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "far");
 }
 
+TEST_CASE("large answers go where the link is free, small ones to the fast server", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.addPeer("fast", "east", 0, 60);
+    fixture.addPeer("free", "east", 0, 110);
+    for (const char *name : {"fast", "free"})
+        fixture.table.find(ServerId(name))->load.linkBytesPerSecond = 1'000'000;
+    fixture.table.find(ServerId("fast"))->load.linkBytesCommitted = 600'000;
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "fast");
+    HostOutcome answer = makeOutcome(RunState::Answered, HostReason::None, true, 200);
+    answer.processingTime = {80};
+    answer.response.body.assign(100'000, 'x');
+    fixture.dispatcher.offerEnded(1, answer, NOW);
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "free");
+    CHECK(fixture.table.find(ServerId("free"))->bulkBytesInFlight == 100'000);
+    CHECK(fixture.dispatcher.bulkBytesOf(2) == 100'000);
+    fixture.dispatcher.offerEnded(2, answer, NOW);
+    CHECK(fixture.table.find(ServerId("free"))->bulkBytesInFlight == 0);
+    CHECK(fixture.dispatcher.bulkBytesOf(2) == 0);
+}
+
+TEST_CASE("downloads sent since a peer's report count for its link", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.addPeer("a");
+    fixture.addPeer("b");
+    for (const char *name : {"a", "b"})
+        fixture.table.find(ServerId(name))->load.linkBytesPerSecond = 1'000'000;
+    const auto first = only<SendOffer>(fixture.begin());
+    HostOutcome answer = makeOutcome(RunState::Answered, HostReason::None, true, 200);
+    answer.processingTime = {80};
+    answer.response.body.assign(200'000, 'x');
+    fixture.dispatcher.offerEnded(first.offer, answer, NOW);
+    std::map<std::string, int> offers;
+    for (int i = 0; i < 4; i++)
+        offers[only<SendOffer>(fixture.begin()).daemon.text()]++;
+    CHECK(offers["a"] == 2);
+    CHECK(offers["b"] == 2);
+}
+
 TEST_CASE("a slow, failing, unresponsive or draining server is not chosen", "[dispatch]")
 {
     Fixture fixture;
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -34,6 +34,10 @@
     double workMs = 0;                 ///< Mean processing time of a request in ms; 0 when unknown.
     double failureRate = 0; ///< Share of recent requests that the server failed, from 0 to 1.
     bool cold = false;      ///< The server started a short while ago and is still slow.
+    /** Rate at which large answers leave over the VM's link, in bytes per second; 0: unknown. */
+    std::uint64_t linkBytesPerSecond = 0;
+    /** Bytes of large answers that wait for the link, or are expected of calls accepted so far. */
+    std::uint64_t linkBytesCommitted = 0;
 };
 
 /** Announcement of a daemon: its identity and where it accepts links. */
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -11,14 +11,16 @@
 /** Cached state of one other daemon. */
 struct Peer
 {
-    DaemonRecord record;                ///< Latest announcement.
-    bool linked = false;                ///< The link to the peer is open.
-    TimePoint linkedSince{0};           ///< Time at which the link opened.
-    TimePoint lastMessageAt{0};         ///< Time of the last message from the peer.
-    HostLoad load;                      ///< Last reported load of the peer's local server.
-    unsigned callsInFlight = 0;         ///< Calls sent to the peer that have not ended yet.
-    unsigned callsInFlightAtReport = 0; ///< Value of callsInFlight when load was last reported.
-    Revision version = 0;               ///< Last reported version of the routes in force.
+    DaemonRecord record;                 ///< Latest announcement.
+    bool linked = false;                 ///< The link to the peer is open.
+    TimePoint linkedSince{0};            ///< Time at which the link opened.
+    TimePoint lastMessageAt{0};          ///< Time of the last message from the peer.
+    HostLoad load;                       ///< Last reported load of the peer's local server.
+    unsigned callsInFlight = 0;          ///< Calls sent to the peer that have not ended yet.
+    unsigned callsInFlightAtReport = 0;  ///< Value of callsInFlight when load was last reported.
+    std::uint64_t bulkBytesInFlight = 0; ///< Expected sizes of the large answers of these calls.
+    std::uint64_t bulkBytesInFlightAtReport = 0; ///< The same when load was last reported.
+    Revision version = 0;                        ///< Last reported version of the routes in force.
     Duration storeAge;          ///< Last reported time since its last contact with the store.
     bool watchingStore = false; ///< The peer watches the platform's store and pushes new versions.
     bool shuttingDown = false;  ///< The peer's daemon is about to stop.
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr double MS_PER_SECOND = 1000;
 constexpr double PROCESSING_SMOOTHING = 0.1; ///< Weight of a new processing time in its mean.
 constexpr double FAILURE_SMOOTHING = 0.05;   ///< Weight of a new result in the failure rate.
 constexpr std::size_t LOOKAHEAD_MAX = 32;  ///< Queued calls of a rank examined for the next start.
@@ -114,6 +115,8 @@
     HostDecisions decisions;
     for (const auto &[key, call] : m_queue)
         decisions.push_back(makeRefusal(call.id, reason, {0}));
+    for (const auto &[key, call] : m_queue)
+        m_bulkBytesExpected -= call.bulkBytes;
     m_queue.clear();
     return decisions;
 }
@@ -169,6 +172,28 @@
     return {static_cast<std::int64_t>(waitMs)};
 }
 
+/** @return expected size of the call's answer when it is large and leaves over the link, else 0. */
+std::uint64_t HostScheduler::expectedBulkBytes(const HostCall &call) const
+{
+    const auto found = m_answerBytesByRoute.find(call.route);
+    if (!call.overLink || found == m_answerBytesByRoute.end() || found->second < BULK_BYTES_MIN)
+        return 0;
+    return static_cast<std::uint64_t>(found->second);
+}
+
+/** @return time in which the link carries large answers of this size; 0 when it is unknown. */
+double HostScheduler::linkTimeMs(std::uint64_t bytes) const
+{
+    if (m_link == nullptr || m_link->flowBytesPerSecond() <= 0)
+        return 0;
+    return static_cast<double>(bytes) * MS_PER_SECOND / m_link->flowBytesPerSecond();
+}
+
+std::uint64_t HostScheduler::linkBytesCommitted() const
+{
+    return m_bulkBytesExpected + (m_link == nullptr ? 0 : m_link->backlogBytes());
+}
+
 HostReason HostScheduler::checkAdmission(HostCall &call, TimePoint now) const
 {
     if (m_shuttingDown)
@@ -183,12 +208,17 @@
     const Duration minTime{static_cast<std::int64_t>(processingMs * PROCESSING_SHARE_MIN)};
     if (now + minTime > call.deadline)
         return HostReason::TooLate;
-    const Duration wait = expectedWait(call.rank, now);
+    const Duration slotWait = expectedWait(call.rank, now);
+    // The link carries earlier answers while this call waits for a slot and runs.
+    const double linkWaitMs
+        = call.bulkBytes == 0 ? 0 : linkTimeMs(linkBytesCommitted()) - processingMs;
+    const Duration wait{std::max(slotWait.ms, static_cast<std::int64_t>(linkWaitMs))};
     if (wait.ms == 0)
         return HostReason::None;
     if (call.queueWaitMax.ms >= 0 && wait > call.queueWaitMax)
         return HostReason::Busier;
-    const Duration total = wait + Duration{static_cast<std::int64_t>(processingMs)};
+    const Duration total
+        = wait + Duration{static_cast<std::int64_t>(processingMs + linkTimeMs(call.bulkBytes))};
     if (m_queue.size() >= m_options.queueMax || now + total > call.deadline)
         return HostReason::Full;
     // A retry that misses its soft deadline only fills gaps; it must not displace calls in time.
@@ -202,9 +232,11 @@
 
 HostDecisions HostScheduler::submit(HostCall call, TimePoint now)
 {
+    call.bulkBytes = expectedBulkBytes(call);
     const HostReason reason = checkAdmission(call, now);
     if (reason != HostReason::None)
         return {makeRefusal(call.id, reason, expectedWait(call.rank, now))};
+    m_bulkBytesExpected += call.bulkBytes;
     m_queue.emplace(QueueKey{call.rank, call.id}, call);
     return startQueued(now);
 }
@@ -236,6 +268,7 @@
         const Duration minTime{
             static_cast<std::int64_t>(expectedProcessingMs(call.route) * PROCESSING_SHARE_MIN)};
         if (now + minTime > call.deadline) {
+            m_bulkBytesExpected -= call.bulkBytes;
             decisions.push_back(makeRefusal(call.id, HostReason::TooLate, {0}));
             continue;
         }
@@ -248,14 +281,18 @@
 }
 
 HostDecisions HostScheduler::complete(HostCallId id, HostFinish finish, Duration processingTime,
-                                      TimePoint now)
+                                      TimePoint now, std::size_t answerBytes)
 {
     const auto found = m_running.find(id);
     if (found == m_running.end())
         return {};
     if (finish == HostFinish::Served) {
-        if (m_processingMsByRoute.size() >= ROUTES_MAX)
+        if (m_processingMsByRoute.size() >= ROUTES_MAX) {
             m_processingMsByRoute.clear();
+            m_answerBytesByRoute.clear();
+        }
+        smooth(m_answerBytesByRoute[found->second.route], static_cast<double>(answerBytes),
+               PROCESSING_SMOOTHING);
         smooth(m_processingMsByRoute[found->second.route], static_cast<double>(processingTime.ms),
                PROCESSING_SMOOTHING);
         smooth(m_meanProcessingMs, static_cast<double>(processingTime.ms), PROCESSING_SMOOTHING);
@@ -264,6 +301,7 @@
         m_failureRate
             += FAILURE_SMOOTHING * ((finish == HostFinish::Served ? 0.0 : 1.0) - m_failureRate);
     m_startTimeSumMs -= found->second.started.ms;
+    m_bulkBytesExpected -= found->second.bulkBytes;
     m_running.erase(found);
     return startQueued(now);
 }
@@ -274,6 +312,7 @@
                                     [&](const auto &item) { return item.first.second == id; });
     if (found == m_queue.end())
         return false;
+    m_bulkBytesExpected -= found->second.bulkBytes;
     m_queue.erase(found);
     return true;
 }
@@ -287,6 +326,7 @@
         // An early refusal leaves the caller time to retry.
         if (now + processing > call.softDeadline && m_queue.size() * 2 > m_server.slots) {
             decisions.push_back(makeRefusal(call.id, HostReason::Full, {0}));
+            m_bulkBytesExpected -= call.bulkBytes;
             item = m_queue.erase(item);
             continue;
         }
@@ -297,6 +337,7 @@
             continue;
         }
         decisions.push_back(makeRefusal(item->second.id, HostReason::TooLate, {0}));
+        m_bulkBytesExpected -= item->second.bulkBytes;
         item = m_queue.erase(item);
     }
     return decisions;
@@ -315,6 +356,9 @@
         = m_meanProcessingMs > 0 || m_running.size() >= AGE_SAMPLES_MIN ? meanProcessingMs(now) : 0;
     load.failureRate = m_failureRate;
     load.cold = now < m_coldUntil;
+    if (m_link != nullptr)
+        load.linkBytesPerSecond = static_cast<std::uint64_t>(m_link->flowBytesPerSecond());
+    load.linkBytesCommitted = linkBytesCommitted();
     return load;
 }
 
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -1,6 +1,7 @@
 /** @file host_scheduler.h Admission and queueing of the calls for a daemon's local server. */
 #pragma once
 
+#include "bandwidth/output_scheduler.h"
 #include "hosting/hosting_type.h"
 
 #include <map>
@@ -27,7 +28,14 @@
 class HostScheduler
 {
 public:
-    explicit HostScheduler(HostSchedulerOptions options) : m_options(options) {}
+    /**
+     * @param options Bounds.
+     * @param link Messages that wait for the VM's network link; outlives the scheduler. Null when
+     *     the link is not considered.
+     */
+    explicit HostScheduler(HostSchedulerOptions options, const OutputScheduler *link = nullptr)
+        : m_options(options), m_link(link)
+    {}
 
     /**
      * Handles a report of the local server.
@@ -61,10 +69,11 @@
      * @param finish How it ended.
      * @param processingTime Time from sending the request to its end.
      * @param now Time.
+     * @param answerBytes Size of the body of the server's answer.
      * @return decisions about queued calls, since a slot is free.
      */
-    HostDecisions complete(HostCallId id, HostFinish finish, Duration processingTime,
-                           TimePoint now);
+    HostDecisions complete(HostCallId id, HostFinish finish, Duration processingTime, TimePoint now,
+                           std::size_t answerBytes = 0);
     /** Removes a call from the queue. @return false when the call was not queued. */
     bool cancelQueued(HostCallId id);
     /**
@@ -101,12 +110,16 @@
     HostDecisions startQueued(TimePoint now);
     double expectedProcessingMs(const std::string &route) const;
     Duration expectedWait(unsigned rank, TimePoint now) const;
+    std::uint64_t expectedBulkBytes(const HostCall &call) const;
+    double linkTimeMs(std::uint64_t bytes) const;
+    std::uint64_t linkBytesCommitted() const;
     double meanProcessingMs(TimePoint now) const;
     std::map<QueueKey, HostCall>::iterator nextQueued(TimePoint now);
     HostReason checkAdmission(HostCall &call, TimePoint now) const;
     HostDecision makeRefusal(HostCallId id, HostReason reason, Duration wait) const;
 
     const HostSchedulerOptions m_options;
+    const OutputScheduler *m_link = nullptr;
     ServerReport m_server; ///< Latest report of the registered server.
     HostState m_state = HostState::None;
     bool m_shuttingDown = false; ///< The daemon shuts down.
@@ -116,6 +129,8 @@
     std::unordered_map<HostCallId, HostCall> m_running;
     std::int64_t m_startTimeSumMs = 0; ///< Sum of the start times of running calls.
     std::unordered_map<std::string, double> m_processingMsByRoute; ///< Smoothed processing times.
+    std::unordered_map<std::string, double> m_answerBytesByRoute;  ///< Smoothed sizes of answers.
+    std::uint64_t m_bulkBytesExpected = 0; ///< Sum of bulkBytes of queued and running calls.
     double m_meanProcessingMs
         = 0;                  ///< Smoothed processing time of all routes; 0 when none was measured.
     double m_failureRate = 0; ///< Smoothed share of failed calls, from 0 to 1.
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -65,14 +65,16 @@
 /** A call that a daemon submits to the HostScheduler of the hosting daemon. */
 struct HostCall
 {
-    HostCallId id = 0;         ///< Identifies the call.
-    std::string route;         ///< Name of the route; processing time is measured by route.
-    unsigned rank = 0;         ///< Calls with a lower rank start first.
-    TimePoint deadline;        ///< The caller discards an answer after this time.
-    TimePoint softDeadline;    ///< An answer after this time is worth less to the caller.
-    std::string instance;      ///< Server instance that the sender chose; empty accepts any.
-    bool isRetry = false;      ///< The caller retries a request that was refused before.
-    TimePoint started{0};      ///< When the call was passed to the server.
+    HostCallId id = 0;           ///< Identifies the call.
+    std::string route;           ///< Name of the route; processing time is measured by route.
+    unsigned rank = 0;           ///< Calls with a lower rank start first.
+    TimePoint deadline;          ///< The caller discards an answer after this time.
+    TimePoint softDeadline;      ///< An answer after this time is worth less to the caller.
+    std::string instance;        ///< Server instance that the sender chose; empty accepts any.
+    bool isRetry = false;        ///< The caller retries a request that was refused before.
+    bool overLink = false;       ///< The answer leaves over the VM's network link.
+    std::uint64_t bulkBytes = 0; ///< Expected size of a large answer over the link, else 0.
+    TimePoint started{0};        ///< When the call was passed to the server.
     Duration queueWaitMax{-1}; ///< With a longer wait another server is better; below 0: no bound.
 };
 
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -220,6 +220,85 @@
     CHECK(scheduler.complete(1, HostFinish::Served, {100}, NOW).empty());
 }
 
+TEST_CASE("downloads on a slow link are admitted by its bytes, small calls by slots", "[hosting]")
+{
+    OutputSchedulerOptions options;
+    options.bytesPerSecond = 1'000'000;
+    OutputScheduler link(options);
+    HostScheduler scheduler{HostSchedulerOptions(), &link};
+    ServerReport report = makeReport("a", 10, 1);
+    report.slots = 50;
+    scheduler.handleReport(report, NOW);
+    const auto makeDownload = [](HostCallId id) {
+        HostCall call = makeCall(id, 800, 2000);
+        call.route = "download";
+        call.overLink = true;
+        return call;
+    };
+    for (HostCallId id = 1000; id < 1100; id++) {
+        scheduler.submit(makeDownload(id), NOW);
+        scheduler.complete(id, HostFinish::Served, {100}, NOW, 200'000);
+    }
+    // Each answer takes the link 215 ms; the fourth would come after 860 ms.
+    CHECK(starts(scheduler.submit(makeDownload(1), NOW), 1));
+    CHECK(starts(scheduler.submit(makeDownload(2), NOW), 2));
+    CHECK(starts(scheduler.submit(makeDownload(3), NOW), 3));
+    CHECK(refuses(scheduler.submit(makeDownload(4), NOW), 4, HostReason::Full));
+    CHECK(scheduler.load(NOW).linkBytesCommitted == Approx(600'000).margin(10));
+    CHECK(scheduler.load(NOW).linkBytesPerSecond == 930'000);
+    CHECK(starts(scheduler.submit(makeCall(5), NOW), 5));
+    HostCall local = makeDownload(6);
+    local.overLink = false;
+    CHECK(starts(scheduler.submit(local, NOW), 6));
+    HostCall impatient = makeDownload(7);
+    impatient.queueWaitMax = {100};
+    CHECK(refuses(scheduler.submit(impatient, NOW), 7, HostReason::Busier));
+
+    // An answer that waits for the link counts until it has left.
+    scheduler.complete(1, HostFinish::Served, {100}, NOW, 200'000);
+    link.add(1, 200'000, 1);
+    CHECK(refuses(scheduler.submit(makeDownload(8), NOW), 8, HostReason::Full));
+    link.remove(1);
+    CHECK(starts(scheduler.submit(makeDownload(9), NOW), 9));
+    scheduler.complete(2, HostFinish::Broken, {100}, NOW);
+    scheduler.complete(3, HostFinish::Cancelled, {100}, NOW);
+    scheduler.complete(9, HostFinish::Shed, {100}, NOW);
+    CHECK(scheduler.load(NOW).linkBytesCommitted == 0);
+}
+
+TEST_CASE("queued downloads that are refused or withdrawn give their bytes back", "[hosting]")
+{
+    OutputScheduler link{OutputSchedulerOptions()};
+    HostScheduler scheduler{HostSchedulerOptions(), &link};
+    scheduler.handleReport(makeReport("a", 10, 1), NOW);
+    const auto makeDownload = [](HostCallId id) {
+        HostCall call = makeCall(id);
+        call.overLink = true;
+        return call;
+    };
+    scheduler.submit(makeDownload(1), NOW);
+    scheduler.complete(1, HostFinish::Served, {100}, NOW, 50'000);
+    for (HostCallId id = 2; id <= 6; id++)
+        scheduler.submit(makeDownload(id), NOW);
+    CHECK(scheduler.load(NOW).linkBytesCommitted == 250'000);
+    CHECK(scheduler.cancelQueued(6));
+    CHECK(scheduler.load(NOW).linkBytesCommitted == 200'000);
+    SECTION("the deadline of queued calls passes")
+    {
+        scheduler.tick(NOW + Duration{1500});
+        CHECK(scheduler.load(NOW).linkBytesCommitted == 100'000);
+    }
+    SECTION("the server drains")
+    {
+        scheduler.handleReport(makeReport("a", 10, 2, true), NOW);
+        CHECK(scheduler.load(NOW).linkBytesCommitted == 100'000);
+    }
+    scheduler.complete(2, HostFinish::Served, {100}, NOW, 50'000);
+    scheduler.complete(3, HostFinish::Served, {100}, NOW, 50'000);
+    scheduler.tick(NOW + Duration{9000});
+    CHECK(scheduler.load(NOW).linkBytesCommitted == 0);
+}
+
 TEST_CASE("a nested failure explains one failure of the server soon after it", "[hosting]")
 {
     NestedFailures failures;
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -25,6 +25,7 @@
     RouteUpdate,
     CrashReport,
     RoutesRequest,
+    BodyPart,
     Count, ///< Number of kinds; not a kind.
 };
 static_assert(std::variant_size_v<LinkMessage> == static_cast<std::size_t>(Kind::Count),
@@ -84,7 +85,9 @@
             load.queued,
             static_cast<int>(load.workMs * 10),
             static_cast<int>(load.failureRate * 1000),
-            load.cold};
+            load.cold,
+            load.linkBytesPerSecond,
+            load.linkBytesCommitted};
 }
 
 HostLoad loadFromJson(const Json &list)
@@ -100,6 +103,8 @@
     load.workMs = list.at(6).get<int>() / 10.0;
     load.failureRate = list.at(7).get<int>() / 1000.0;
     load.cold = list.at(8).get<bool>();
+    load.linkBytesPerSecond = list.at(9).get<std::uint64_t>();
+    load.linkBytesCommitted = list.at(10).get<std::uint64_t>();
     return load;
 }
 
@@ -251,7 +256,12 @@
                 toJson(m.outcome.response.headers),
                 toBinaryJson(m.outcome.response.body),
                 toJson(m.load),
-                m.outcome.nestedFailure};
+                m.outcome.nestedFailure,
+                m.bodyBytesToFollow};
+    }
+    Json operator()(const LinkBodyPart &m) const
+    {
+        return {Kind::BodyPart, m.offer, toBinaryJson(m.bytes)};
     }
     Json operator()(const LinkRouteUpdate &m) const { return toJson(m.update); }
     Json operator()(const LinkRoutesRequest &m) const
@@ -302,6 +312,7 @@
     m.outcome.response.body = bytesFromJson(list.at(9));
     m.load = loadFromJson(list.at(10));
     m.outcome.nestedFailure = list.at(11).get<bool>();
+    m.bodyBytesToFollow = list.at(12).get<std::uint64_t>();
     return m;
 }
 
@@ -337,6 +348,8 @@
              Duration{list.at(5).get<std::int64_t>()}}};
     case Kind::RoutesRequest:
         return LinkRoutesRequest{list.at(1).get<Revision>()};
+    case Kind::BodyPart:
+        return LinkBodyPart{list.at(1).get<OfferId>(), bytesFromJson(list.at(2))};
     case Kind::Count:
         break;
     }
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -14,7 +14,7 @@
 namespace cornelwell {
 
 /** Version of the message format. Daemons with different versions do not link to each other. */
-constexpr unsigned LINK_FORMAT = 2;
+constexpr unsigned LINK_FORMAT = 3;
 
 /** First message on a link, from the daemon that opened it. */
 struct LinkHello
@@ -50,6 +50,7 @@
     bool idempotent = false;       ///< The request may run more than once.
     bool isRetry = false;          ///< The caller retries a request that was refused before.
     std::uint64_t fingerprint = 0; ///< Hash of the request; equal for retries of the request.
+    bool overLink = true;          ///< Another daemon sent it; not on the wire.
     Duration queueWaitMax{-1}; ///< Refuse the call if it would queue for longer; below 0: no limit.
 };
 /** Cancels an offer. */
@@ -69,6 +70,14 @@
     OfferId offer = 0;   ///< The offer.
     HostOutcome outcome; ///< How the call ended.
     HostLoad load;       ///< Load of the local server after the call.
+    /** Size of the response's body when it follows in parts; 0 when the response has it. */
+    std::uint64_t bodyBytesToFollow = 0;
+};
+/** Carries the next bytes of a response's body, after its LinkResult. */
+struct LinkBodyPart
+{
+    OfferId offer = 0; ///< The offer.
+    std::string bytes; ///< The bytes.
 };
 /** Carries a version of the routes. */
 struct LinkRouteUpdate
@@ -89,6 +98,6 @@
 /** Any message of a link. The codec's kinds have the same order. */
 using LinkMessage
     = std::variant<LinkHello, LinkDaemonState, LinkCall, LinkCancel, LinkOutcomeRequest, LinkResult,
-                   LinkRouteUpdate, LinkCrashReport, LinkRoutesRequest>;
+                   LinkRouteUpdate, LinkCrashReport, LinkRoutesRequest, LinkBodyPart>;
 
 } // namespace cornelwell
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -25,6 +25,8 @@
     : m_loop(loop)
     , m_owner(owner)
     , m_connection(std::move(connection))
+    , m_output(std::make_shared<PacedOutput>(m_connection,
+                                             fromLocalServer ? nullptr : owner.bulkWriter()))
     , m_reader(readerLimits(owner.limits()))
     , m_lastActivity(loop.now())
     , m_fromLocalServer(fromLocalServer)
@@ -67,7 +69,7 @@
         const RequestParseStatus status = m_reader.parse();
         if (status == RequestParseStatus::NeedMore) {
             if (m_reader.shouldSendContinue() && m_queue.empty())
-                m_connection->write(CONTINUE_RESPONSE);
+                m_output->write(CONTINUE_RESPONSE);
             break;
         }
         if (status == RequestParseStatus::Failed) {
@@ -138,10 +140,10 @@
     m_queue.pop_front();
     const bool last = m_queue.empty() && !m_reader.inRequest() && m_errorStatus == 0;
     const bool close = !first.keepAlive || (last && m_owner.shouldCloseConnections());
-    m_connection->write(serializeResponse(*first.response, first.method, close));
+    m_output->write(serializeResponse(*first.response, first.method, close));
     m_lastActivity = m_loop.now();
     if (close) {
-        m_connection->closeWhenSent();
+        m_output->closeWhenSent();
         endSession();
         return false;
     }
@@ -156,8 +158,8 @@
         return;
     HttpResponse errorResponse;
     errorResponse.status = static_cast<int>(status);
-    m_connection->write(serializeResponse(errorResponse, "GET", true));
-    m_connection->closeWhenSent();
+    m_output->write(serializeResponse(errorResponse, "GET", true));
+    m_output->closeWhenSent();
     endSession();
 }
 
@@ -197,6 +199,10 @@
 {
     const TrafficLimits limits = m_owner.limits();
     const TimePoint now = m_loop.now();
+    // A caller that still reads a long response is not idle.
+    if (m_output->unsentBytes() != m_lastUnsentBytes)
+        m_lastActivity = now;
+    m_lastUnsentBytes = m_output->unsentBytes();
     if (m_queue.empty() && m_reader.inRequest()) {
         const bool headerTimedOut
             = !m_reader.headerComplete() && now - m_requestStarted >= limits.headerTimeout;
--- a/src/node/caller_session.h
+++ b/src/node/caller_session.h
@@ -5,6 +5,7 @@
 #include "dispatch/dispatch_type.h"
 #include "exchange/request_reader.h"
 #include "loop/tcp_connection.h"
+#include "node/paced_output.h"
 #include "routes/route_type.h"
 
 #include <deque>
@@ -26,6 +27,8 @@
     virtual bool shouldCloseConnections() const = 0;
     /** @return true when the request may run while earlier ones of the same connection run. */
     virtual bool mayRunConcurrently(const HttpRequest &request) const = 0;
+    /** @return the writer for responses that leave over the VM's link; null to send all at once. */
+    virtual BulkWriter *bulkWriter() { return nullptr; }
     /** @return a new identifier for a request. */
     virtual PendingRequestId newRequestId() = 0;
     /** Handles a request. The response goes to CallerSession::respond, during the call or later. */
@@ -89,6 +92,8 @@
     EventLoop &m_loop;
     CallerSessionOwner &m_owner;
     TcpConnectionPtr m_connection;
+    std::shared_ptr<PacedOutput> m_output;
+    std::size_t m_lastUnsentBytes = 0; ///< At the last check of the idle timer.
     RequestReader m_reader;
     std::deque<QueuedRequest> m_queue; ///< In the order of arrival.
     TimerId m_idleTimer = 0;
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -31,12 +31,13 @@
 } // namespace
 
 HostCallExecutor::HostCallExecutor(EventLoop &loop, const CallFields &fields,
-                                   HostCallListener &listener, DecisionLog &log)
+                                   HostCallListener &listener, DecisionLog &log,
+                                   const OutputScheduler &link)
     : m_loop(loop)
     , m_fields(fields)
     , m_listener(listener)
     , m_log(log)
-    , m_scheduler(HostSchedulerOptions())
+    , m_scheduler(HostSchedulerOptions(), &link)
     , m_pool(loop, fields,
              [this](HostCallId id, const ServerResult &result) { handleResult(id, result); })
 {}
@@ -94,6 +95,7 @@
     hosted.softDeadline = now + call.softDeadlineLeft;
     hosted.instance = call.instance;
     hosted.isRetry = call.isRetry;
+    hosted.overLink = call.overLink;
     hosted.queueWaitMax = call.queueWaitMax;
     m_byOrigin[origin] = id;
     m_calls.emplace(id, Call{origin, std::move(call), now, hosted.deadline, false, false});
@@ -143,7 +145,8 @@
     if (broken)
         m_crashSuspects.emplace_back(
             now, std::make_pair(found->second.call.fingerprint, found->second.call.route));
-    HostDecisions decisions = m_scheduler.complete(id, result.finish, result.processingTime, now);
+    HostDecisions decisions = m_scheduler.complete(id, result.finish, result.processingTime, now,
+                                                   outcome.response.body.size());
     completeCall(id, outcome);
     execute(decisions);
     if (result.connectionRefused) {
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -47,7 +47,7 @@
 {
 public:
     HostCallExecutor(EventLoop &loop, const CallFields &fields, HostCallListener &listener,
-                     DecisionLog &log);
+                     DecisionLog &log, const OutputScheduler &link);
 
     /** Handles a report of the local server. */
     void handleReport(const ServerReport &report);
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -25,6 +25,7 @@
     Endpoint server;      ///< Address of the local server.
     Endpoint store;       ///< Address of the platform's store.
     ServiceRetryBudgetOptions retryBudget; ///< Retry budget of the whole fleet.
+    std::uint64_t linkBytesPerSecond = 0;  ///< Rate of the VM's network link; 0 when unknown.
     Duration grace = seconds(6); ///< Longest time from SIGTERM to the exit of the process.
 };
 
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -59,12 +59,16 @@
 
     void disconnected(DisconnectReason) override { m_links.outboundLinkClosed(m_record.name, up); }
 
+    /** Drops a result whose body is not complete. */
+    void dropResult(OfferId offer) { m_partialResults.erase(offer); }
+
     void send(const std::string &bytes)
     {
         if (m_connection->unsentBytes() > MAX_UNSENT_BYTES) {
             close();
             return;
         }
+        m_links.m_bulk.recordSent(bytes.size());
         m_connection->write(bytes);
     }
 
@@ -108,13 +112,44 @@
             m_links.m_listener.linkUp(m_record.name, restarted);
             return;
         }
+        if (auto *result = std::get_if<LinkResult>(&message)) {
+            if (result->bodyBytesToFollow > 0) {
+                const OfferId offer = result->offer;
+                m_partialResults[offer] = std::move(*result);
+                return;
+            }
+        } else if (const auto *part = std::get_if<LinkBodyPart>(&message)) {
+            addBodyPart(*part);
+            return;
+        }
         m_links.m_listener.handlePeerAnswer(m_record.name, std::move(message));
     }
 
+    /** Adds a part to its result, which is handled when its body is complete. */
+    void addBodyPart(const LinkBodyPart &part)
+    {
+        const auto found = m_partialResults.find(part.offer);
+        if (found == m_partialResults.end())
+            return;
+        LinkResult &result = found->second;
+        if (part.bytes.empty() || part.bytes.size() > result.bodyBytesToFollow) {
+            close();
+            return;
+        }
+        result.outcome.response.body += part.bytes;
+        result.bodyBytesToFollow -= part.bytes.size();
+        if (result.bodyBytesToFollow > 0)
+            return;
+        LinkResult complete = std::move(result);
+        m_partialResults.erase(found);
+        m_links.m_listener.handlePeerAnswer(m_record.name, std::move(complete));
+    }
+
     PeerLinks &m_links;
     DaemonRecord m_record;
     TcpConnectionPtr m_connection;
     LinkReader m_reader;
+    std::map<OfferId, LinkResult> m_partialResults; ///< Results whose body is not complete.
 };
 
 /** A link that a peer opened. */
@@ -150,9 +185,43 @@
             return;
         }
         lastSentAt = m_links.m_loop.now();
+        m_links.m_bulk.recordSent(bytes.size());
         m_connection->write(bytes);
     }
 
+    /** Sends the body of a result in parts, when the VM's link has room for them. */
+    void sendBody(OfferId offer, std::string body)
+    {
+        stopBody(offer);
+        const std::size_t size = body.size();
+        m_bodies[offer]
+            = m_links.m_bulk.add(size, [weak = weak_from_this(), offer,
+                                        text = std::make_shared<std::string>(std::move(body)),
+                                        at = std::make_shared<std::size_t>(0)](std::size_t bytes) {
+                  const auto link = weak.lock();
+                  if (!link || !link->m_connection->isOpen())
+                      return BulkProgress::Ended;
+                  if (link->m_connection->unsentBytes() > BULK_UNSENT_BYTES_MAX)
+                      return BulkProgress::Blocked;
+                  link->m_connection->write(
+                      encodeLinkMessage(LinkBodyPart{offer, text->substr(*at, bytes)}));
+                  *at += bytes;
+                  if (*at == text->size())
+                      link->m_bodies.erase(offer);
+                  return BulkProgress::Sent;
+              });
+    }
+
+    /** Drops the rest of a body. */
+    void stopBody(OfferId offer)
+    {
+        const auto found = m_bodies.find(offer);
+        if (found == m_bodies.end())
+            return;
+        m_links.m_bulk.remove(found->second);
+        m_bodies.erase(found);
+    }
+
     /** Closes the link; unread bytes are discarded. */
     void close()
     {
@@ -196,11 +265,12 @@
     PeerLinks &m_links;
     TcpConnectionPtr m_connection;
     LinkReader m_reader;
+    std::map<OfferId, OutputFlowId> m_bodies; ///< Bodies that are being sent.
 };
 
 PeerLinks::PeerLinks(EventLoop &loop, PeerTable &table, PeerLinksListener &listener,
-                     PeerLinkOptions options)
-    : m_loop(loop), m_table(table), m_listener(listener), m_options(options)
+                     PeerLinkOptions options, BulkWriter &bulk)
+    : m_loop(loop), m_table(table), m_listener(listener), m_options(options), m_bulk(bulk)
 {}
 
 PeerLinks::~PeerLinks() = default;
@@ -325,6 +395,11 @@
 
 bool PeerLinks::sendRequest(const ServerId &peer, const LinkMessage &message)
 {
+    if (const auto *cancel = std::get_if<LinkCancel>(&message)) {
+        const auto found = m_outboundLinks.find(peer);
+        if (found != m_outboundLinks.end())
+            found->second->dropResult(cancel->offer);
+    }
     return sendBytes(peer, encodeLinkMessage(message));
 }
 
@@ -346,6 +421,33 @@
     return true;
 }
 
+bool PeerLinks::sendResult(const ServerId &peer, std::uint64_t incarnation, LinkResult result)
+{
+    std::string body;
+    if (result.outcome.response.body.size() >= BULK_BYTES_MIN) {
+        body = std::move(result.outcome.response.body);
+        result.outcome.response.body.clear();
+        result.bodyBytesToFollow = body.size();
+    }
+    const OfferId offer = result.offer;
+    if (!sendAnswer(peer, incarnation, result))
+        return false;
+    if (!body.empty()) {
+        const auto found = m_inboundLinks.find(peer);
+        if (found == m_inboundLinks.end())
+            return false;
+        found->second->sendBody(offer, std::move(body));
+    }
+    return true;
+}
+
+void PeerLinks::stopResult(const ServerId &peer, OfferId offer)
+{
+    const auto found = m_inboundLinks.find(peer);
+    if (found != m_inboundLinks.end())
+        found->second->stopBody(offer);
+}
+
 void PeerLinks::sendToAll(const LinkMessage &message)
 {
     const std::string bytes = encodeLinkMessage(message);
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -5,6 +5,7 @@
 #include "fleet/peer_table.h"
 #include "link/link_codec.h"
 #include "loop/tcp_connection.h"
+#include "node/bulk_writer.h"
 
 #include <functional>
 #include <map>
@@ -64,7 +65,7 @@
 {
 public:
     PeerLinks(EventLoop &loop, PeerTable &table, PeerLinksListener &listener,
-              PeerLinkOptions options);
+              PeerLinkOptions options, BulkWriter &bulk);
     ~PeerLinks();
 
     /** Starts accepting inbound links. @return nothing, or why it cannot listen. */
@@ -89,6 +90,17 @@
      * @return false when that incarnation has no inbound link.
      */
     bool sendAnswer(const ServerId &peer, std::uint64_t incarnation, const LinkMessage &message);
+    /**
+     * Sends a result on the inbound link of a peer; a large body follows in parts, so that it does
+     * not delay other messages.
+     * @param peer The peer.
+     * @param incarnation Incarnation that the result is for, as in sendAnswer.
+     * @param result The result.
+     * @return false when that incarnation has no inbound link.
+     */
+    bool sendResult(const ServerId &peer, std::uint64_t incarnation, LinkResult result);
+    /** Stops sending the body of a result that the peer does not want any more. */
+    void stopResult(const ServerId &peer, OfferId offer);
     /** Sends a message on all outbound links that are up. */
     void sendToAll(const LinkMessage &message);
     /** @return number of outbound links that are up. */
@@ -110,6 +122,7 @@
     PeerTable &m_table;
     PeerLinksListener &m_listener;
     const PeerLinkOptions m_options;
+    BulkWriter &m_bulk;
     std::unique_ptr<TcpListener> m_listenerSocket;
     std::map<ServerId, std::shared_ptr<OutboundLink>> m_outboundLinks;
     std::map<ServerId, std::shared_ptr<InboundLink>> m_inboundLinks; ///< Links whose hello arrived.
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -35,6 +35,13 @@
     return options;
 }
 
+OutputSchedulerOptions outputOptions(const NodeSettings &settings)
+{
+    OutputSchedulerOptions options;
+    options.bytesPerSecond = settings.linkBytesPerSecond;
+    return options;
+}
+
 std::string joined(const std::vector<std::string> &names)
 {
     std::string text;
@@ -60,14 +67,15 @@
     , m_peers(m_settings.self, PeerOptions())
     , m_budget(m_settings.retryBudget)
     , m_quarantine(quarantineOptions())
-    , m_hostCalls(loop, adapter.callFields(), *this, m_log)
+    , m_bulk(loop, outputOptions(m_settings))
+    , m_hostCalls(loop, adapter.callFields(), *this, m_log, m_bulk.scheduler())
     , m_dispatcher(
           m_peers, m_budget, [this] { return m_shuttingDown ? HostLoad() : m_hostCalls.load(); },
           DispatchOptions(), seedOf(m_settings))
     , m_replicator(m_peers, ReplicationOptions(), seedOf(m_settings) + 1)
     , m_discovery(m_peers, DiscoveryOptions(), seedOf(m_settings) + 2)
     , m_serviceSelector(seedOf(m_settings))
-    , m_links(loop, m_peers, *this, PeerLinkOptions())
+    , m_links(loop, m_peers, *this, PeerLinkOptions(), m_bulk)
     , m_storeClient(loop, m_settings.store)
     , m_watchClient(loop, m_settings.store)
 {
@@ -199,6 +207,7 @@
     const bool callersKnow
         = elapsed >= SHUTDOWN_NOTICE_TIME || m_notReadyReplies >= MIN_NOT_READY_REPLIES;
     const bool quiet = m_pendingRequests.empty() && m_hostCalls.callCount() == 0
+                       && m_bulk.scheduler().backlogBytes() == 0
                        && now - m_lastRequestAt >= QUIET_TIME;
     if (!graceOver && !(callersKnow && quiet))
         return;
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -8,6 +8,7 @@
 #include "log/decision_log.h"
 #include "loop/event_loop.h"
 #include "metrics/metrics.h"
+#include "node/bulk_writer.h"
 #include "node/caller_session.h"
 #include "node/host_call_executor.h"
 #include "node/http_service.h"
@@ -72,6 +73,7 @@
     TrafficLimits limits() const override;
     bool shouldCloseConnections() const override { return m_shuttingDown; }
     bool mayRunConcurrently(const HttpRequest &request) const override;
+    BulkWriter *bulkWriter() override { return &m_bulk; }
     PendingRequestId newRequestId() override { return ++m_lastRequestId; }
     void handleRequest(CallerSession &session, PendingRequestId id,
                        IncomingRequest incoming) override;
@@ -149,6 +151,7 @@
     Quarantine m_quarantine;
     std::set<std::uint64_t> m_quarantined;
     RecentRefusals m_recentRefusals;
+    BulkWriter m_bulk;
     HostCallExecutor m_hostCalls;
     Dispatcher m_dispatcher;
     RouteReplicator m_replicator;
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -246,6 +246,7 @@
     found->second.lastDaemon = action.daemon;
     LinkCall call = makeLinkCall(action, found->second);
     if (action.daemon == m_settings.self.name) {
+        call.overLink = false;
         m_hostCalls.offer({action.daemon, m_settings.self.incarnation, action.offer},
                           std::move(call));
         return;
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -18,7 +18,7 @@
         perform(m_dispatcher.offerEnded(origin.offer, outcome, m_loop.now()));
         return;
     }
-    m_links.sendAnswer(origin.daemon, origin.incarnation,
+    m_links.sendResult(origin.daemon, origin.incarnation,
                        LinkResult{origin.offer, outcome, m_hostCalls.load()});
 }
 
@@ -140,6 +140,7 @@
     else if (state.load.instance == peer->deregisteredInstance)
         peer->deregisteredInstance.clear();
     peer->callsInFlightAtReport = peer->callsInFlight;
+    peer->bulkBytesInFlightAtReport = peer->bulkBytesInFlight;
     const bool hasLostStore = state.storeAge - peer->storeAge > STORE_LOSS_AGE;
     peer->storeAge = state.storeAge;
     peer->shuttingDown = state.shuttingDown;
@@ -165,6 +166,9 @@
     if (Peer *peer = m_peers.find(name)) {
         peer->load = result.load;
         peer->callsInFlightAtReport = peer->callsInFlight > 0 ? peer->callsInFlight - 1 : 0;
+        const std::uint64_t ended = m_dispatcher.bulkBytesOf(result.offer);
+        peer->bulkBytesInFlightAtReport
+            = peer->bulkBytesInFlight - std::min(peer->bulkBytesInFlight, ended);
     }
     perform(m_dispatcher.offerEnded(result.offer, result.outcome, now));
 }
@@ -179,9 +183,10 @@
         m_hostCalls.offer(origin(offer), std::move(*call));
     } else if (const auto *cancel = std::get_if<LinkCancel>(&message)) {
         m_hostCalls.cancel(origin(cancel->offer), cancel->onlyIfQueued);
+        m_links.stopResult(peer.name, cancel->offer);
     } else if (const auto *outcomeRequest = std::get_if<LinkOutcomeRequest>(&message)) {
         if (const auto outcome = m_hostCalls.findOutcome(origin(outcomeRequest->offer)))
-            m_links.sendAnswer(peer.name, peer.incarnation,
+            m_links.sendResult(peer.name, peer.incarnation,
                                LinkResult{outcomeRequest->offer, *outcome, m_hostCalls.load()});
     } else if (const auto *routes = std::get_if<LinkRouteUpdate>(&message)) {
         perform(m_replicator.handleUpdate(peer.name, routes->update, m_loop.now()));
--- a/src/node/tests/host_call_executor_test.cpp
+++ b/src/node/tests/host_call_executor_test.cpp
@@ -103,7 +103,8 @@
     EventLoop loop;
     DecisionLog log{loop.clock(), {DecisionLogLevel::Off, 1, 0, 1}};
     Listener listener;
-    HostCallExecutor executor{loop, FIELDS, listener, log};
+    OutputScheduler link{OutputSchedulerOptions()};
+    HostCallExecutor executor{loop, FIELDS, listener, log, link};
 };
 
 } // namespace
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -2,6 +2,7 @@
  * addresses. */
 #include "log/decision_log.h"
 #include "manual_clock.h"
+#include "node/paced_output.h"
 #include "node/peer_links.h"
 #include "node/recent_refusals.h"
 #include "node/server_connection_pool.h"
@@ -50,13 +51,18 @@
     void senderLost(const ServerId &, std::uint64_t) override { lost++; }
     void peerReplaced(const ServerId &peer) override { replaced = peer.text(); }
     void peerAnnounced(const DaemonRecord &) override {}
-    void handlePeerAnswer(const ServerId &, LinkMessage) override {}
+    void handlePeerAnswer(const ServerId &, LinkMessage message) override
+    {
+        if (auto *result = std::get_if<LinkResult>(&message))
+            results.push_back(std::move(*result));
+    }
     void handlePeerRequest(const DaemonRecord &, LinkMessage) override {}
 
     int ups = 0;
     int downs = 0;
     int lost = 0;
     std::string replaced;
+    std::vector<LinkResult> results;
 
 private:
     std::string m_name;
@@ -120,8 +126,9 @@
     PeerTable newTable(record("newcomer", 47312), PeerOptions());
     Listener asker("asker");
     Listener newcomer("newcomer");
-    PeerLinks from(loop, oldTable, asker, PeerLinkOptions());
-    PeerLinks to(loop, newTable, newcomer, PeerLinkOptions());
+    BulkWriter bulk(loop, OutputSchedulerOptions());
+    PeerLinks from(loop, oldTable, asker, PeerLinkOptions(), bulk);
+    PeerLinks to(loop, newTable, newcomer, PeerLinkOptions(), bulk);
     REQUIRE(to.listen());
     oldTable.addOrUpdate(record("newcomer", 47312), true);
     from.tick();
@@ -144,8 +151,9 @@
     PeerTable hostTable(record("host", 47314), PeerOptions());
     Listener asker("asker");
     Listener host("host");
-    PeerLinks from(loop, askerTable, asker, PeerLinkOptions());
-    PeerLinks to(loop, hostTable, host, PeerLinkOptions());
+    BulkWriter bulk(loop, OutputSchedulerOptions());
+    PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
+    PeerLinks to(loop, hostTable, host, PeerLinkOptions(), bulk);
     REQUIRE(to.listen());
     askerTable.addOrUpdate(record("host", 47314), true);
     from.tick();
@@ -154,6 +162,116 @@
     CHECK_FALSE(to.sendAnswer(ServerId("asker"), 7, LinkResult()));
 }
 
+TEST_CASE("small results pass downloads on one link, and each body arrives whole", "[node]")
+{
+    EventLoop loop;
+    OutputSchedulerOptions slowLink;
+    slowLink.bytesPerSecond = 2'000'000;
+    BulkWriter bulk(loop, slowLink);
+    PeerTable askerTable(record("asker", 47315), PeerOptions());
+    PeerTable hostTable(record("host", 47316), PeerOptions());
+    Listener asker("asker");
+    Listener host("host");
+    PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
+    PeerLinks to(loop, hostTable, host, PeerLinkOptions(), bulk);
+    REQUIRE(to.listen());
+    askerTable.addOrUpdate(record("host", 47316), true);
+    from.tick();
+    runUntil(loop, [&] { return from.linksUp() == 1; });
+    const auto makeResult = [](OfferId offer, std::size_t size) {
+        LinkResult result;
+        result.offer = offer;
+        result.outcome.response.status = 200;
+        for (std::size_t i = 0; i < size; i++)
+            result.outcome.response.body += static_cast<char>('a' + (i * offer) % 23);
+        return result;
+    };
+    for (OfferId offer = 1; offer <= 3; offer++)
+        REQUIRE(to.sendResult(ServerId("asker"), 1, makeResult(offer, 100'000 + offer)));
+    REQUIRE(to.sendResult(ServerId("asker"), 1, makeResult(4, 200)));
+    to.stopResult(ServerId("asker"), 2);
+    REQUIRE(from.sendRequest(ServerId("host"), LinkCancel{2, false}));
+    runUntil(loop, [&] { return asker.results.size() == 3; });
+    REQUIRE(asker.results.size() == 3);
+    CHECK(asker.results[0].offer == 4);
+    for (const LinkResult &result : asker.results) {
+        CHECK(result.offer != 2);
+        CHECK(result.bodyBytesToFollow == 0);
+        const std::size_t size = result.offer == 4 ? 200 : 100'000 + result.offer;
+        CHECK(result.outcome.response.body == makeResult(result.offer, size).outcome.response.body);
+    }
+    CHECK(bulk.scheduler().backlogBytes() == 0);
+}
+
+TEST_CASE("a link that breaks within a body gives no answer", "[node]")
+{
+    EventLoop loop;
+    OutputSchedulerOptions slowLink;
+    slowLink.bytesPerSecond = 20'000;
+    BulkWriter bulk(loop, slowLink);
+    PeerTable askerTable(record("asker", 47317), PeerOptions());
+    PeerTable hostTable(record("host", 47318), PeerOptions());
+    Listener asker("asker");
+    Listener host("host");
+    PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
+    auto to = std::make_unique<PeerLinks>(loop, hostTable, host, PeerLinkOptions(), bulk);
+    REQUIRE(to->listen());
+    askerTable.addOrUpdate(record("host", 47318), true);
+    from.tick();
+    runUntil(loop, [&] { return from.linksUp() == 1; });
+    LinkResult result;
+    result.offer = 1;
+    result.outcome.response.body.assign(100'000, 'x');
+    REQUIRE(to->sendResult(ServerId("asker"), 1, std::move(result)));
+    runUntil(loop, [&] { return bulk.scheduler().backlogBytes() < 95'000; });
+    // A second link of the same daemon replaces the first one, which breaks off.
+    PeerLinks again(loop, askerTable, asker, PeerLinkOptions(), bulk);
+    again.tick();
+    runUntil(loop, [&] { return asker.downs == 1 && bulk.scheduler().backlogBytes() == 0; });
+    CHECK(asker.downs == 1);
+    CHECK(asker.results.empty());
+    CHECK(bulk.scheduler().backlogBytes() == 0);
+}
+
+TEST_CASE("responses on a caller's connection keep their order, large ones in frames", "[node]")
+{
+    EventLoop loop;
+    OutputSchedulerOptions slowLink;
+    slowLink.bytesPerSecond = 5'000'000;
+    BulkWriter bulk(loop, slowLink);
+    std::shared_ptr<PacedOutput> output;
+    std::string expected;
+    struct Reader : public ConnectionHandler
+    {
+        void received(std::string_view bytes) override { text += bytes; }
+        void disconnected(DisconnectReason) override { ended = true; }
+        std::string text;
+        bool ended = false;
+    } reader;
+    struct Server : public ConnectionHandler
+    {
+        void received(std::string_view) override {}
+        void disconnected(DisconnectReason) override {}
+    } server;
+    const auto listener
+        = TcpListener::listen(loop, {"127.0.0.1", 47319}, [&](TcpConnectionPtr connection) {
+              connection->start(server);
+              output = std::make_shared<PacedOutput>(connection, &bulk);
+              for (const std::size_t size : {100U, 200'000U, 300U, 50'000U, 10U}) {
+                  std::string bytes(size, static_cast<char>('a' + expected.size() % 26));
+                  expected += bytes;
+                  output->write(std::move(bytes));
+              }
+              output->closeWhenSent();
+          });
+    REQUIRE(listener);
+    const auto connection = TcpConnection::open(loop, {"127.0.0.1", 47319}, Duration{1000}, reader);
+    runUntil(loop, [&] { return reader.ended; });
+    CHECK(reader.text.size() == expected.size());
+    CHECK(reader.text == expected);
+    CHECK(output->unsentBytes() == 0);
+}
+
 TEST_CASE("the decision log is bounded, and failures have a reserved share", "[log]")
 {
     ManualClock clock;
