Fix: node: servers that send bytes without end, calls without an end, outcomes that were dropped

Outcomes now stay until 5 s after their deadline; one dropped earlier makes unknown calls "may have run" until then. A queue is checked every 40 ms while it is not empty, so that its refusals (not run, retry) reach the sender before its deadline, which answers 504.

--- a/src/exchange/body_reader.h
+++ b/src/exchange/body_reader.h
@@ -40,6 +40,8 @@
     bool endsAtClose() const { return m_framing == Framing::UntilClose; }
     /** @return the decoded body; the caller may move it out. */
     std::string &body() { return m_body; }
+    /** @return size of the decoded body so far. */
+    std::size_t size() const { return m_body.size(); }
 
 private:
     /** How the end of the body is marked. */
--- a/src/exchange/response_reader.cpp
+++ b/src/exchange/response_reader.cpp
@@ -14,7 +14,9 @@
 namespace {
 
 constexpr std::size_t MAX_HEADER_BYTES = 65536;          ///< Longest header of a response.
-constexpr std::size_t MAX_BODY_BYTES = 64 * 1024 * 1024; ///< Longest body of a response.
+constexpr std::size_t MAX_BODY_BYTES = 16 * 1024 * 1024; ///< Longest body of a response.
+/** Most interim responses before the final one. */
+constexpr unsigned MAX_INTERIM_RESPONSES = 16;
 constexpr unsigned MIN_FINAL_STATUS = 200; ///< Responses with a lower status are interim.
 constexpr unsigned NO_CONTENT = 204;
 constexpr unsigned NOT_MODIFIED = 304;
@@ -39,6 +41,7 @@
 void ResponseReader::beginResponse(std::string_view method)
 {
     m_method = std::string(method);
+    m_interimResponses = 0;
     reset();
 }
 
@@ -52,7 +55,7 @@
         }
         const unsigned status = m_parser->get().result_int();
         if (status < MIN_FINAL_STATUS) {
-            if (status == SWITCHING_PROTOCOLS)
+            if (status == SWITCHING_PROTOCOLS || ++m_interimResponses > MAX_INTERIM_RESPONSES)
                 return ResponseParseStatus::Failed;
             reset();
             continue;
--- a/src/exchange/response_reader.h
+++ b/src/exchange/response_reader.h
@@ -42,6 +42,8 @@
     bool keepAlive() const { return m_keepAlive; }
     /** @return true when bytes are buffered that belong to no response taken so far. */
     bool hasExtraBytes() const { return !m_buffer.empty(); }
+    /** @return bytes that the response in progress and later ones hold. */
+    std::size_t bufferedBytes() const { return m_buffer.size() + m_body.size(); }
     /** @return true when a byte of the current response was parsed. */
     bool started() const { return m_started; }
 
@@ -56,6 +58,7 @@
     BodyReader m_body;
     bool m_complete = false;
     std::string m_method;
+    unsigned m_interimResponses = 0; ///< Before the response in progress.
     std::unique_ptr<Parser> m_parser;
     bool m_started = false;
     bool m_keepAlive = false;
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -9,8 +9,13 @@
 
 namespace {
 
-constexpr Duration OUTCOME_LIFETIME{5000};      ///< How long an outcome is kept for its sender.
+/** How long an outcome is kept for its sender, from the later of its end and its deadline. */
+constexpr Duration OUTCOME_LIFETIME{5000};
 constexpr std::size_t MAX_KEPT_OUTCOMES = 4096; ///< The oldest outcome is removed above this.
+/** A queue is checked this often, so that its refusals reach the senders before their deadlines. */
+constexpr Duration QUEUE_CHECK_INTERVAL{40};
+/** A call that the server has not answered this long after its deadline is ended. */
+constexpr Duration OVERDUE_TIME{1500};
 /** The server is probed when it shows no activity for this multiple of its expected work time. */
 constexpr double UNRESPONSIVE_WORK_FACTOR = 2.5;
 constexpr Duration UNRESPONSIVE_TIME_MIN{400};  ///< Shortest such time.
@@ -42,6 +47,11 @@
              [this](HostCallId id, const ServerResult &result) { handleResult(id, result); })
 {}
 
+HostCallExecutor::~HostCallExecutor()
+{
+    m_loop.cancel(m_queueTimer);
+}
+
 void HostCallExecutor::handleReport(const ServerReport &report)
 {
     const HostLoad before = load();
@@ -100,6 +110,42 @@
     m_byOrigin[origin] = id;
     m_calls.emplace(id, Call{origin, std::move(call), now, hosted.deadline, false, false});
     execute(m_scheduler.submit(hosted, now));
+    startQueueTimer();
+}
+
+/** Checks the queue until it is empty. */
+void HostCallExecutor::startQueueTimer()
+{
+    if (m_queueTimer != 0 || m_scheduler.queued() == 0)
+        return;
+    m_queueTimer = m_loop.after(QUEUE_CHECK_INTERVAL, [this] {
+        m_queueTimer = 0;
+        execute(m_scheduler.tick(m_loop.now()));
+        startQueueTimer();
+    });
+}
+
+/** Ends calls that their server neither answers nor ends, so that they do not hold slots and
+ * connections for good. Whether they ran is unknown. */
+void HostCallExecutor::endOverdueCalls()
+{
+    const TimePoint now = m_loop.now();
+    std::vector<HostCallId> overdue;
+    for (const auto &[id, call] : m_calls) {
+        if (call.running && now - call.deadline > OVERDUE_TIME)
+            overdue.push_back(id);
+    }
+    for (const HostCallId id : overdue) {
+        m_pool.abort(id);
+        const HostDecisions decisions
+            = m_scheduler.complete(id, HostFinish::Broken, now - m_calls.at(id).arrived, now);
+        HostOutcome outcome;
+        outcome.state = RunState::Unknown;
+        outcome.reason = HostReason::Broken;
+        outcome.sentToServer = true;
+        completeCall(id, outcome);
+        execute(decisions);
+    }
 }
 
 void HostCallExecutor::execute(const HostDecisions &decisions)
@@ -235,10 +281,8 @@
         fields.add("running", std::uint64_t{m_scheduler.running()});
         fields.add("waiting", std::uint64_t{m_scheduler.queued()});
     });
-    if (!call.call.idempotent) {
-        m_keptOutcomes[call.origin] = {outcome, now + OUTCOME_LIFETIME};
-        m_keptOutcomesByExpiry.emplace_back(now + OUTCOME_LIFETIME, call.origin);
-    }
+    if (!call.call.idempotent)
+        keepOutcome(call, outcome);
     if (!call.cancelled)
         m_listener.callCompleted(call.origin, outcome);
 }
@@ -293,7 +337,33 @@
     const auto kept = m_keptOutcomes.find(origin);
     if (kept != m_keptOutcomes.end())
         return kept->second.outcome;
-    return notRunOutcome(HostReason::Forgotten, {0});
+    HostOutcome unknown = notRunOutcome(HostReason::Forgotten, {0});
+    if (m_loop.now() < m_outcomesMissingUntil) {
+        unknown.state = RunState::Unknown;
+        unknown.sentToServer = true;
+    }
+    return unknown;
+}
+
+void HostCallExecutor::keepOutcome(const Call &call, const HostOutcome &outcome)
+{
+    const TimePoint now = m_loop.now();
+    const TimePoint until = std::max(now, call.deadline) + OUTCOME_LIFETIME;
+    m_keptOutcomes[call.origin] = {outcome, until};
+    m_keptOutcomesInOrder.push_back(call.origin);
+    while (m_keptOutcomesInOrder.size() > MAX_KEPT_OUTCOMES)
+        dropOldestOutcome();
+}
+
+void HostCallExecutor::dropOldestOutcome()
+{
+    const auto oldest = m_keptOutcomes.find(m_keptOutcomesInOrder.front());
+    if (oldest != m_keptOutcomes.end()) {
+        if (oldest->second.until > m_loop.now() && oldest->second.outcome.state != RunState::NotRun)
+            m_outcomesMissingUntil = std::max(m_outcomesMissingUntil, oldest->second.until);
+        m_keptOutcomes.erase(oldest);
+    }
+    m_keptOutcomesInOrder.pop_front();
 }
 
 void HostCallExecutor::tick()
@@ -301,11 +371,13 @@
     const TimePoint now = m_loop.now();
     execute(m_scheduler.tick(now));
     checkUnresponsiveServer();
-    while (!m_keptOutcomesByExpiry.empty()
-           && (m_keptOutcomesByExpiry.front().first <= now
-               || m_keptOutcomesByExpiry.size() > MAX_KEPT_OUTCOMES)) {
-        m_keptOutcomes.erase(m_keptOutcomesByExpiry.front().second);
-        m_keptOutcomesByExpiry.pop_front();
+    endOverdueCalls();
+    // A later outcome with an earlier end is dropped when the ones before it are.
+    while (!m_keptOutcomesInOrder.empty()) {
+        const auto oldest = m_keptOutcomes.find(m_keptOutcomesInOrder.front());
+        if (oldest != m_keptOutcomes.end() && oldest->second.until > now)
+            break;
+        dropOldestOutcome();
     }
     while (!m_crashSuspects.empty() && now - m_crashSuspects.front().first > CRASH_SUSPECT_TIME)
         m_crashSuspects.pop_front();
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -48,6 +48,7 @@
 public:
     HostCallExecutor(EventLoop &loop, const CallFields &fields, HostCallListener &listener,
                      DecisionLog &log, const OutputScheduler &link);
+    ~HostCallExecutor();
 
     /** Handles a report of the local server. */
     void handleReport(const ServerReport &report);
@@ -62,8 +63,11 @@
     /** Handles the loss of a sender's link: cancels its idempotent and queued calls; others go on.
      */
     void handleSenderLost(const ServerId &daemon, std::uint64_t incarnation);
-    /** @return the kept outcome of a call, for a sender whose link was lost; nothing while the call
-     * runs, HostReason::Forgotten for an unknown call. */
+    /**
+     * @return the kept outcome of a call, for a sender whose link was lost; nothing while the call
+     * runs. HostReason::Forgotten for an unknown call: it has not run, unless outcomes of calls
+     * whose deadline is not over had to be dropped.
+     */
     std::optional<HostOutcome> findOutcome(const CallOrigin &origin);
     /** Records that a nested call of the server failed. */
     void recordNestedFailure() { m_nestedFailures.record(m_loop.now()); }
@@ -74,6 +78,8 @@
     HostLoad load() const { return m_scheduler.load(m_loop.now()); }
     /** @return number of calls that are queued or running. */
     std::size_t callCount() const { return m_calls.size(); }
+    /** @return bytes that unfinished answers of the server hold. */
+    std::size_t bufferedBytes() const { return m_pool.bufferedBytes(); }
     /** @return number of connections attempted to the server. */
     std::uint64_t connectionsOpened() const { return m_pool.connectionsOpened(); }
 
@@ -100,6 +106,10 @@
     void handleResult(HostCallId id, const ServerResult &result);
     void completeCall(HostCallId id, const HostOutcome &outcome);
     void checkUnresponsiveServer();
+    void startQueueTimer();
+    void endOverdueCalls();
+    void keepOutcome(const Call &call, const HostOutcome &outcome);
+    void dropOldestOutcome();
     void probeServer();
     void handleServerDown();
     HttpRequest makeServerRequest(const Call &call) const;
@@ -113,12 +123,14 @@
     std::unordered_map<HostCallId, Call> m_calls;
     std::map<CallOrigin, HostCallId> m_byOrigin;
     std::map<CallOrigin, KeptOutcome> m_keptOutcomes;
-    std::deque<std::pair<TimePoint, CallOrigin>> m_keptOutcomesByExpiry;
+    std::deque<CallOrigin> m_keptOutcomesInOrder; ///< Oldest first.
+    TimePoint m_outcomesMissingUntil{0};          ///< Until then an unknown call may have run.
     std::deque<std::pair<TimePoint, std::pair<std::uint64_t, std::string>>>
         m_crashSuspects; ///< Requests that broke off recently.
     NestedFailures m_nestedFailures;
     HostCallId m_lastCallId = 0;
     TimePoint m_nextProbeAt{0};
+    TimerId m_queueTimer = 0;
 };
 
 } // namespace cornelwell
--- a/src/node/server_connection_pool.cpp
+++ b/src/node/server_connection_pool.cpp
@@ -16,6 +16,9 @@
 constexpr Duration PROBE_TIMEOUT{400}; ///< The local server accepts a connection within this time.
 constexpr Duration DEFAULT_IDLE_TIMEOUT{6000}; ///< Used when the server names no timeout.
 constexpr int MAX_STALE_RESPONSES = 3; ///< Most responses to earlier requests that are skipped.
+/** Most bytes of unfinished responses on all connections; the response that exceeds it is broken
+ * off, since a server may send bytes without end on each of its connections. */
+constexpr std::size_t MAX_BUFFERED_BYTES = 24UL * 1024 * 1024;
 constexpr int MISDIRECTED_REQUEST = 421;
 constexpr int MIN_SERVER_ERROR = 500;
 constexpr int MIN_SUCCESS = 200;
@@ -102,7 +105,11 @@
             sendRequest();
     }
 
-    void close() { m_connection->close(); }
+    void close()
+    {
+        forgetBufferedBytes();
+        m_connection->close();
+    }
 
     void connected() override
     {
@@ -121,6 +128,8 @@
         }
         m_reader.feed(bytes);
         parseResponse();
+        if (current.id != 0 && !countBufferedBytes())
+            finish(failedResult(RunState::Unknown, HostReason::Garbled, true), false);
     }
 
     void disconnected(DisconnectReason reason) override
@@ -162,6 +171,21 @@
         m_connection->write(serializeRequest(current.request));
     }
 
+    void forgetBufferedBytes()
+    {
+        m_pool.m_bufferedBytes -= m_countedBytes;
+        m_countedBytes = 0;
+    }
+
+    /** @return false when the unfinished responses of all connections hold too many bytes. */
+    bool countBufferedBytes()
+    {
+        m_pool.m_bufferedBytes -= m_countedBytes;
+        m_countedBytes = m_reader.bufferedBytes();
+        m_pool.m_bufferedBytes += m_countedBytes;
+        return m_pool.m_bufferedBytes <= MAX_BUFFERED_BYTES;
+    }
+
     void parseResponse()
     {
         const ResponseParseStatus status = m_reader.parse();
@@ -201,6 +225,7 @@
     void finish(ServerResult result, bool keep)
     {
         const auto self = shared_from_this();
+        forgetBufferedBytes();
         if (!keep)
             m_connection->close();
         if (current.id == 0) {
@@ -236,6 +261,7 @@
     bool m_requestSent = false;
     bool m_reusable = true;
     int m_staleResponses = 0;
+    std::size_t m_countedBytes = 0; ///< Part of ServerConnectionPool::m_bufferedBytes.
 };
 
 /** Opens a connection to find out whether the server listens. */
--- a/src/node/server_connection_pool.h
+++ b/src/node/server_connection_pool.h
@@ -65,12 +65,13 @@
     TimePoint lastActivity() const { return m_lastActivity; }
     /** @return number of connections attempted since the start, probes included. */
     std::uint64_t connectionsOpened() const { return m_connectionsOpened; }
+    /** @return bytes that unfinished responses hold. */
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
 
 private:
     class Connection;
     class Probe;
 
-    void ended(Connection &connection, const ServerResult &result);
     void release(Connection &connection, bool keep);
 
     EventLoop &m_loop;
@@ -80,6 +81,7 @@
     std::vector<std::shared_ptr<Connection>> m_idle; ///< The connection used last is at the end.
     std::vector<std::shared_ptr<Probe>> m_probes;
     std::uint64_t m_connectionsOpened = 0;
+    std::size_t m_bufferedBytes = 0; ///< Bytes that unfinished responses hold.
     TimePoint m_lastActivity{0};
 };
 
