Feature: replication: a store that comes back from an older copy

Cause: nothing read Store-Era. After a restore the revisions that a watcher holds are given out again: a watch from one of them passes over changes in silence, and a daemon whose announcement was lost stays unlisted. Ruled out: clearing the version in force. It is newer than the store's copy and the operator writes it again. The stand-in of the store plays it (/standin/restore?revision=N, 410 for revisions that it does not have).

--- a/src/fleet/peer_discovery.cpp
+++ b/src/fleet/peer_discovery.cpp
@@ -13,6 +13,12 @@
 DiscoveryActions PeerDiscovery::nextCall()
 {
     m_callPending = true;
+    if (m_announceAgain) {
+        m_announceAgain = false;
+        m_step = Step::Announce;
+        m_ownRevision = 0;
+        m_completeLists = 0;
+    }
     if (m_step == Step::Announce)
         return {AnnounceSelf{m_ownRevision}};
     return {ListDaemons{m_after}};
@@ -72,11 +78,19 @@
     // The store may answer the first lists from before the announcements of daemons that started at
     // the same time, so these lists are repeated sooner.
     const bool startup = m_completeLists++ < m_options.startupListCount;
-    m_nextCallAt
-        = now + m_random.jitter(startup ? m_options.startupListInterval : m_options.listInterval);
+    m_nextCallAt = now
+                   + m_random.jitter(startup || m_announceAgain ? m_options.startupListInterval
+                                                                : m_options.listInterval);
     return {};
 }
 
+void PeerDiscovery::handleStoreRestored(TimePoint now)
+{
+    m_announceAgain = true;
+    // All daemons write at about this time.
+    m_nextCallAt = now + m_random.jitter(m_options.startupListInterval);
+}
+
 DiscoveryActions PeerDiscovery::tick(TimePoint now)
 {
     if (m_callPending || now < m_nextCallAt)
--- a/src/fleet/peer_discovery.h
+++ b/src/fleet/peer_discovery.h
@@ -93,6 +93,11 @@
      * @return the next actions.
      */
     DiscoveryActions handleListAnswer(const Result<DaemonPage> &answer, TimePoint now);
+    /**
+     * Handles a store that came back from an older copy, which may lack the announcement: it is
+     * written again, and the others are listed again.
+     */
+    void handleStoreRestored(TimePoint now);
     /** @return the call that is due at @p now, if any. */
     DiscoveryActions tick(TimePoint now);
 
@@ -113,6 +118,7 @@
     Random m_random;
     Step m_step = Step::Announce;
     bool m_callPending = false;
+    bool m_announceAgain = false; ///< The store may have lost the announcement.
     unsigned m_completeLists = 0;
     std::uint64_t m_ownRevision = 0; ///< Revision of the stored own announcement; 0 when unknown.
     std::string m_after;             ///< Where the next page starts.
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -110,3 +110,40 @@
     CHECK(discovery.tick(now + seconds(5)).empty());
     CHECK_FALSE(discovery.tick(now + seconds(30)).empty());
 }
+
+TEST_CASE("when the store came back older, the announcement is written and the others listed again",
+          "[fleet]")
+{
+    PeerTable table(record("me", 7), PeerOptions());
+    PeerDiscovery discovery(table, DiscoveryOptions(), 1);
+    discovery.start();
+    discovery.handleAnnounceAnswer(written(), NOW);
+    DaemonPage page;
+    page.daemons = {{record("a"), 1}};
+    SECTION("between calls")
+    {
+        discovery.handleListAnswer(page, NOW);
+        discovery.handleStoreRestored(NOW);
+    }
+    SECTION("while a list is read")
+    {
+        discovery.handleStoreRestored(NOW);
+        discovery.handleListAnswer(page, NOW);
+    }
+    SECTION("between two pages")
+    {
+        discovery.handleStoreRestored(NOW);
+        page.more = true;
+        page.last = "a";
+        const auto actions = discovery.handleListAnswer(page, NOW);
+        CHECK(std::get<AnnounceSelf>(actions.at(0)).revision == 0);
+        CHECK(std::get<ListDaemons>(discovery.handleAnnounceAnswer(written(), NOW).at(0))
+                  .after.empty());
+        return;
+    }
+    const auto actions = discovery.tick(NOW + seconds(2));
+    REQUIRE_FALSE(actions.empty());
+    CHECK(std::get<AnnounceSelf>(actions.at(0)).revision == 0);
+    CHECK(
+        std::get<ListDaemons>(discovery.handleAnnounceAnswer(written(), NOW).at(0)).after.empty());
+}
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -220,7 +220,7 @@
     {
         return {Kind::DaemonState, m.name.text(), m.incarnation,  toJson(m.load),
                 m.version,         m.storeAge.ms, m.shuttingDown, m.deregisteredInstance,
-                m.watchingStore};
+                m.watchingStore,   m.storeEra};
     }
     Json operator()(const LinkCall &m) const
     {
@@ -330,6 +330,7 @@
                                {list.at(5).get<std::int64_t>()},
                                list.at(6).get<bool>(),
                                list.at(8).get<bool>(),
+                               list.at(9).get<std::uint64_t>(),
                                list.at(7).get<std::string>()};
     case Kind::Call:
         return callFromJson(list);
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -34,6 +34,7 @@
     Duration storeAge;                ///< Time since its last contact with the platform's store.
     bool shuttingDown = false;        ///< It is about to stop.
     bool watchingStore = false;       ///< It watches the platform's store and pushes new versions.
+    std::uint64_t storeEra = 0;       ///< Highest era of the store that it knows; 0: none.
     std::string deregisteredInstance; ///< See Peer::deregisteredInstance; empty when none.
 };
 /** Offers a call to the accepting daemon, for its local server. */
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -45,6 +45,8 @@
     /** @return the response to a valid server notice. */
     virtual HttpResponse acknowledgement() const = 0;
 
+    /** @return era of the store that gave this answer; 0 when the answer names none. */
+    virtual std::uint64_t storeEra(const HttpResponse &response) const = 0;
     /** @return the request that reads the newest routes. @param stale Accept a stale read. */
     virtual HttpRequest readRoutesRequest(bool stale) const = 0;
     /** @return the routes in the response to readRoutesRequest, or an error. */
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -252,6 +252,45 @@
     return m_adapter.acknowledgement();
 }
 
+/** Parses an answer of the store; one of an earlier era is an error, since it may be outdated. */
+template<typename T>
+Result<T> ProxyNode::parseStoreAnswer(const Result<HttpResponse> &response,
+                                      Result<T> (PlatformAdapter::*parse)(const HttpResponse &)
+                                          const)
+{
+    if (!response)
+        return boost::outcome_v2::failure(response.error());
+    if (!observeStoreEra(m_adapter.storeEra(response.value()), "store"))
+        return fail(ResultCode::PlatformUnknown, "an answer of an earlier era of the store");
+    return (m_adapter.*parse)(response.value());
+}
+
+/**
+ * Notes the era of the store that an answer or a peer names.
+ * @return false when it is an earlier one.
+ */
+bool ProxyNode::observeStoreEra(std::uint64_t era, const std::string &source)
+{
+    const std::uint64_t before = m_storeEra.current();
+    const EraVerdict verdict = m_storeEra.observe(era);
+    if (verdict == EraVerdict::Current)
+        return true;
+    m_log.logStateChange(verdict == EraVerdict::Raised ? "store_restored" : "store_answer_outdated",
+                         [&](LogFields &fields) {
+                             fields.add("era", era);
+                             fields.add("before", before);
+                             fields.add("source", source);
+                             fields.add("version", m_replicator.version());
+                         });
+    if (verdict == EraVerdict::Outdated)
+        return false;
+    m_discovery.handleStoreRestored(m_loop.now());
+    // Later than the answer that brought the era, which the replicator handles first.
+    m_loop.after({0}, [this] { perform(m_replicator.handleStoreRestored(m_loop.now())); });
+    m_links.announceState();
+    return true;
+}
+
 void ProxyNode::perform(const ReplicationActions &actions)
 {
     for (const ReplicationAction &action : actions)
@@ -263,23 +302,20 @@
     m_watchClient.call(m_adapter.readRoutesRequest(action.allowStale), ROUTES_READ_TIMEOUT,
                        [this](const Result<HttpResponse> &response) {
                            const Result<StoredRoutes> read
-                               = response ? m_adapter.parseRoutesRead(response.value())
-                                          : Result<StoredRoutes>(
-                                              boost::outcome_v2::failure(response.error()));
+                               = parseStoreAnswer(response, &PlatformAdapter::parseRoutesRead);
                            perform(m_replicator.handleReadAnswer(read, m_loop.now()));
                        });
 }
 
 void ProxyNode::perform(const WatchRoutes &action)
 {
-    m_watchClient.call(
-        m_adapter.watchRoutesRequest(action.storeRevision, action.timeout),
-        action.timeout + WATCH_TIMEOUT_MARGIN, [this](const Result<HttpResponse> &response) {
-            const Result<StoredRoutes> read
-                = response ? m_adapter.parseRoutesWatch(response.value())
-                           : Result<StoredRoutes>(boost::outcome_v2::failure(response.error()));
-            perform(m_replicator.handleWatchAnswer(read, m_loop.now()));
-        });
+    m_watchClient.call(m_adapter.watchRoutesRequest(action.storeRevision, action.timeout),
+                       action.timeout + WATCH_TIMEOUT_MARGIN,
+                       [this](const Result<HttpResponse> &response) {
+                           const Result<StoredRoutes> read
+                               = parseStoreAnswer(response, &PlatformAdapter::parseRoutesWatch);
+                           perform(m_replicator.handleWatchAnswer(read, m_loop.now()));
+                       });
 }
 
 void ProxyNode::perform(const ApplyRoutes &action)
@@ -352,10 +388,8 @@
 {
     m_storeClient.call(m_adapter.announceRequest(m_settings.self, action.revision), STORE_TIMEOUT,
                        [this](const Result<HttpResponse> &response) {
-                           const Result<AnnounceAnswer> read
-                               = response ? m_adapter.parseAnnounceResponse(response.value())
-                                          : Result<AnnounceAnswer>(
-                                              boost::outcome_v2::failure(response.error()));
+                           const Result<AnnounceAnswer> read = parseStoreAnswer(
+                               response, &PlatformAdapter::parseAnnounceResponse);
                            perform(m_discovery.handleAnnounceAnswer(read, m_loop.now()));
                        });
 }
@@ -365,9 +399,7 @@
     m_storeClient.call(m_adapter.listDaemonsRequest(action.after), STORE_TIMEOUT,
                        [this](const Result<HttpResponse> &response) {
                            const Result<DaemonPage> read
-                               = response ? m_adapter.parseDaemonList(response.value())
-                                          : Result<DaemonPage>(
-                                              boost::outcome_v2::failure(response.error()));
+                               = parseStoreAnswer(response, &PlatformAdapter::parseDaemonList);
                            perform(m_discovery.handleListAnswer(read, m_loop.now()));
                            m_links.tick();
                        });
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -18,6 +18,7 @@
 #include "node/settings_change.h"
 #include "node/store_client.h"
 #include "replication/route_replicator.h"
+#include "replication/store_era.h"
 #include "retry/quarantine.h"
 #include "routes/weighted_round_robin.h"
 
@@ -118,6 +119,10 @@
     void handleCrashReport(const CrashReport &report);
 
     // Versions of the routes and discovery of daemons.
+    template<typename T>
+    Result<T> parseStoreAnswer(const Result<HttpResponse> &response,
+                               Result<T> (PlatformAdapter::*parse)(const HttpResponse &) const);
+    bool observeStoreEra(std::uint64_t era, const std::string &source);
     void perform(const ReplicationActions &actions);
     void perform(const ReadRoutes &action);
     void perform(const WatchRoutes &action);
@@ -154,6 +159,7 @@
     BulkWriter m_bulk;
     HostCallExecutor m_hostCalls;
     Dispatcher m_dispatcher;
+    StoreEra m_storeEra;
     RouteReplicator m_replicator;
     PeerDiscovery m_discovery;
     WeightedRoundRobin m_serviceSelector;
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -66,6 +66,7 @@
     state.storeAge = m_replicator.storeAge(m_loop.now());
     state.shuttingDown = m_shuttingDown;
     state.watchingStore = m_replicator.isWatching();
+    state.storeEra = m_storeEra.current();
     return state;
 }
 
@@ -152,6 +153,7 @@
         deregistered.instance = state.deregisteredInstance;
         m_hostCalls.handleDeregistration(deregistered);
     }
+    observeStoreEra(state.storeEra, name.text());
     const bool versionChanged = state.version != peer->version;
     peer->version = state.version;
     if (versionChanged)
--- a/src/replication/route_replicator.cpp
+++ b/src/replication/route_replicator.cpp
@@ -74,6 +74,7 @@
     if (m_readNeeded)
         m_nextStoreCallAt = now + m_random.jitter(m_options.retryDelayMax);
     m_storeRevision = answer.value().storeRevision;
+    m_revisionOutdated = false;
     if (answer.value().document)
         applyDocument(*answer.value().document, now, actions);
     if (m_outdated) {
@@ -96,7 +97,8 @@
         return actions;
     }
     handleStoreAnswer(now, actions);
-    m_storeRevision = std::max(m_storeRevision, answer.value().storeRevision);
+    if (!m_revisionOutdated)
+        m_storeRevision = std::max(m_storeRevision, answer.value().storeRevision);
     if (answer.value().document) {
         m_nextStoreCallAt = now + m_options.watchDelayAfterChange;
         applyDocument(*answer.value().document, now, actions);
@@ -106,6 +108,16 @@
     return actions;
 }
 
+ReplicationActions RouteReplicator::handleStoreRestored(TimePoint now)
+{
+    m_storeRevision = 0;
+    m_revisionOutdated = true;
+    m_nextStoreCallAt = now;
+    // A watch that was accepted before may report nothing of the new era.
+    m_pollUntil = now + m_options.pollAfterFailure;
+    return tick(now);
+}
+
 ReplicationActions RouteReplicator::handleUpdate(const ServerId &peer, const RouteUpdate &update,
                                                  TimePoint now)
 {
@@ -233,7 +245,7 @@
     m_watching = shouldWatch(now);
     if (m_storeCallPending || now < m_nextStoreCallAt)
         return actions;
-    if (m_readNeeded || (m_watching && now < m_pollUntil)) {
+    if (m_readNeeded || (m_watching && (m_revisionOutdated || now < m_pollUntil))) {
         m_storeCallPending = true;
         actions.push_back(ReadRoutes{});
     } else if (m_watching) {
--- a/src/replication/route_replicator.h
+++ b/src/replication/route_replicator.h
@@ -38,6 +38,11 @@
      * a full read.
      */
     ReplicationActions handleWatchAnswer(const Result<StoredRoutes> &answer, TimePoint now);
+    /**
+     * Handles a store that came back from an older copy: revisions seen so far mean nothing, so a
+     * watcher reads before it watches again. The version in force stays.
+     */
+    ReplicationActions handleStoreRestored(TimePoint now);
     /** Handles an update that a peer pushed, or sent on request. */
     ReplicationActions handleUpdate(const ServerId &peer, const RouteUpdate &update, TimePoint now);
     /**
@@ -88,6 +93,7 @@
     std::deque<RouteTablePtr> m_recentTables; ///< Earlier versions, bases of updates; oldest first.
     std::uint64_t m_storeRevision = 0;
     bool m_readNeeded = true;
+    bool m_revisionOutdated = false; ///< m_storeRevision is of an earlier era of the store.
     bool m_storeCallPending = false;
     bool m_watching = false;
     bool m_storeAvailable = true;
--- a/src/replication/tests/replication_test.cpp
+++ b/src/replication/tests/replication_test.cpp
@@ -1,5 +1,6 @@
 /** @file replication_test.cpp Watchers, pushes, requests to peers, order of versions. */
 #include "replication/route_replicator.h"
+#include "replication/store_era.h"
 
 #include <catch2/catch.hpp>
 
@@ -301,3 +302,92 @@
     CHECK_FALSE(findAction<ReadRoutes>(fixture.replicator.tick(NOW)));
     CHECK(findAction<ReadRoutes>(fixture.replicator.tick(NOW + seconds(3))));
 }
+
+TEST_CASE("eras only rise; an answer of an earlier one is not used", "[replication]")
+{
+    StoreEra era;
+    CHECK(era.observe(0) == EraVerdict::Current);
+    CHECK(era.observe(7) == EraVerdict::Current);
+    CHECK(era.observe(7) == EraVerdict::Current);
+    CHECK(era.observe(0) == EraVerdict::Current);
+    CHECK(era.observe(8) == EraVerdict::Raised);
+    CHECK(era.observe(8) == EraVerdict::Current);
+    CHECK(era.observe(7) == EraVerdict::Outdated);
+    CHECK(era.current() == 8);
+}
+
+TEST_CASE("after the store came back older, a watcher reads before it watches a reused revision",
+          "[replication]")
+{
+    Fixture fixture;
+    fixture.replicator.start(NOW);
+    fixture.replicator.handleReadAnswer(storedDocument(500, 7), NOW);
+    TimePoint now = NOW + seconds(2);
+    REQUIRE(findAction<WatchRoutes>(fixture.replicator.tick(now)));
+
+    // The watch is still open when another answer shows the new era.
+    CHECK_FALSE(findAction<WatchRoutes>(fixture.replicator.handleStoreRestored(now)));
+    SECTION("the watch ends with an event of the new era")
+    {
+        const auto actions = fixture.replicator.handleWatchAnswer(noDocument(480), now);
+        CHECK(findAction<ReadRoutes>(actions));
+    }
+    SECTION("the watch ends with 410")
+    {
+        fixture.replicator.handleWatchAnswer(fail(ResultCode::PlatformHistoryGone, "gone"), now);
+        now = now + seconds(1);
+        CHECK(findAction<ReadRoutes>(fixture.replicator.tick(now)));
+    }
+    // Version 8 has a revision that the daemon had seen for version 7 before.
+    CHECK(
+        findAction<ApplyRoutes>(fixture.replicator.handleReadAnswer(storedDocument(490, 8), now)));
+    CHECK(fixture.replicator.version() == 8);
+    for (int i = 0; i < 200; i++) {
+        now = now + Duration{100};
+        const auto actions = fixture.replicator.tick(now);
+        if (findAction<ReadRoutes>(actions))
+            fixture.replicator.handleReadAnswer(storedDocument(491, 8), now);
+        if (const auto *watch = findAction<WatchRoutes>(actions)) {
+            CHECK(watch->storeRevision == 491);
+            return;
+        }
+    }
+    FAIL("the daemon does not watch again");
+}
+
+TEST_CASE("a store that came back older never takes a version out of force", "[replication]")
+{
+    Fixture fixture;
+    fixture.replicator.start(NOW);
+    fixture.replicator.handleReadAnswer(storedDocument(500, 7), NOW);
+    TimePoint now = NOW + seconds(2);
+    fixture.replicator.tick(now);
+    fixture.replicator.handleStoreRestored(now);
+    fixture.replicator.handleWatchAnswer(noDocument(400), now);
+    const auto older = fixture.replicator.handleReadAnswer(storedDocument(400, 6), now);
+    CHECK_FALSE(findAction<ApplyRoutes>(older));
+    CHECK(fixture.replicator.version() == 7);
+    // The operator writes what was lost again, then goes on.
+    CHECK_FALSE(
+        findAction<ApplyRoutes>(fixture.replicator.handleReadAnswer(storedDocument(402, 7), now)));
+    CHECK(
+        findAction<ApplyRoutes>(fixture.replicator.handleReadAnswer(storedDocument(403, 9), now)));
+    CHECK(fixture.replicator.version() == 9);
+}
+
+TEST_CASE("a daemon that does not watch reads nothing when the store came back older",
+          "[replication]")
+{
+    Fixture fixture;
+    for (int i = 0; i < 20; i++) {
+        Peer &peer = fixture.addPeer("p" + std::to_string(i), "east", 7);
+        peer.storeAge = {0};
+    }
+    fixture.replicator.start(NOW);
+    fixture.replicator.handleReadAnswer(storedDocument(500, 7), NOW);
+    // Another daemon name could rank first; this one does not.
+    REQUIRE_FALSE(findAction<WatchRoutes>(fixture.replicator.tick(NOW + Duration{1100})));
+    const auto actions = fixture.replicator.handleStoreRestored(NOW + Duration{1100});
+    CHECK_FALSE(findAction<ReadRoutes>(actions));
+    CHECK_FALSE(findAction<WatchRoutes>(actions));
+}
--- a/standin/object_store_standin.cpp
+++ b/standin/object_store_standin.cpp
@@ -11,6 +11,7 @@
 using Json = nlohmann::json;
 
 constexpr const char *PREFIX = "/api/objects/";
+constexpr int GONE = 410;
 constexpr std::size_t PAGE = 50; ///< Objects of one answer.
 
 HttpResponse jsonAnswer(int status, const Json &body)
@@ -38,8 +39,12 @@
 
 ObjectStoreStandin::ObjectStoreStandin(EventLoop &loop) : m_loop(loop) {}
 
-void ObjectStoreStandin::handle(const HttpRequest &request, const LoopService::Reply &reply)
+void ObjectStoreStandin::handle(const HttpRequest &request, const LoopService::Reply &answer)
 {
+    const LoopService::Reply reply = [this, answer](HttpResponse response) {
+        response.headers.add("Store-Era", std::to_string(m_era));
+        answer(response);
+    };
     const std::string path = request.path.substr(0, request.path.find('?'));
     const std::string query
         = path.size() < request.path.size() ? request.path.substr(path.size() + 1) : "";
@@ -77,17 +82,45 @@
         m_down = queryValue(request.path.substr(mark + 1), "down");
     if (request.path.rfind("/standin/compact", 0) == 0) {
         m_oldest = m_revision;
+        m_base = m_objects;
         m_events.clear();
-        std::map<std::uint64_t, Watch> watches;
-        watches.swap(m_watches);
-        for (auto &[id, one] : watches) {
-            m_loop.cancel(one.timer);
-            one.reply(bare(410));
-        }
+        answerAllWatches(GONE);
     }
+    if (request.path.rfind("/standin/restore", 0) == 0 && mark != std::string::npos)
+        restore(number(queryValue(request.path.substr(mark + 1), "revision")));
     reply(jsonAnswer(200, {{"calls", m_calls}, {"down", m_down}, {"revision", m_revision}}));
 }
 
+void ObjectStoreStandin::answerAllWatches(int status)
+{
+    std::map<std::uint64_t, Watch> watches;
+    watches.swap(m_watches);
+    for (auto &[id, one] : watches) {
+        m_loop.cancel(one.timer);
+        one.reply(bare(status));
+    }
+}
+
+/** Rebuilds the objects from the changes up to a revision that is still in the history. */
+void ObjectStoreStandin::restore(std::uint64_t revision)
+{
+    if (revision < m_oldest || revision > m_revision)
+        return;
+    while (!m_events.empty() && m_events.back().revision > revision)
+        m_events.pop_back();
+    m_objects = m_base;
+    for (const Event &event : m_events) {
+        const std::string name = event.object["meta"]["name"];
+        if (event.deleted)
+            m_objects[event.kind].erase(name);
+        else
+            m_objects[event.kind][name] = event.object;
+    }
+    m_revision = revision;
+    m_era++;
+    answerAllWatches(GONE);
+}
+
 void ObjectStoreStandin::list(const std::string &kind, const std::string &query,
                               const LoopService::Reply &reply)
 {
@@ -124,7 +157,7 @@
                                const LoopService::Reply &reply)
 {
     const std::uint64_t from = number(queryValue(query, "watch"));
-    if (from < m_oldest) {
+    if (from < m_oldest || from > m_revision) {
         reply(bare(410));
         return;
     }
--- a/standin/object_store_standin.h
+++ b/standin/object_store_standin.h
@@ -17,6 +17,8 @@
 /**
  * Answers calls on objects. A call to `/standin/mode?down=busy|silent|no` changes how it behaves,
  * `/standin/compact` drops its history, `/standin/calls` counts its calls.
+ * `/standin/restore?revision=N` brings back the state of revision N: later changes are lost,
+ * revisions are given out again, and the era of its answers rises.
  */
 class ObjectStoreStandin
 {
@@ -45,6 +47,8 @@
         TimerId timer = 0;
     };
 
+    void restore(std::uint64_t revision);
+    void answerAllWatches(int status);
     void steer(const HttpRequest &request, const LoopService::Reply &reply);
     void list(const std::string &kind, const std::string &query, const LoopService::Reply &reply);
     void watch(const std::string &kind, const std::string &query, const LoopService::Reply &reply);
@@ -56,9 +60,11 @@
 
     EventLoop &m_loop;
     std::map<std::string, std::map<std::string, Json>> m_objects;
+    std::map<std::string, std::map<std::string, Json>> m_base; ///< Objects before m_events.
     std::deque<Event> m_events;
     std::map<std::uint64_t, Watch> m_watches;
     std::uint64_t m_revision = 1;
+    std::uint64_t m_era = 1;    ///< Rises with each restore.
     std::uint64_t m_oldest = 1; ///< Changes up to this revision are forgotten.
     std::uint64_t m_lastWatch = 0;
     std::uint64_t m_calls = 0;
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -176,6 +176,17 @@
     }
 }
 
+TEST_CASE("the era of the store is read from its answers", "[adapter]")
+{
+    HttpResponse response;
+    CHECK(PLATFORM.storeEra(response) == 0);
+    response.headers.add("Store-Era", "12");
+    CHECK(PLATFORM.storeEra(response) == 12);
+    HttpResponse garbled;
+    garbled.headers.add("Store-Era", "12x");
+    CHECK(PLATFORM.storeEra(garbled) == 0);
+}
+
 TEST_CASE("a kind says what may be repeated; an unknown kind may not be", "[adapter]")
 {
     const auto routeOfKind = [](const Json &kind) {
