Fix: hosting, node: reports after a restart wait for peers; a stop waits for half-read requests

Reports now wait until two peers were heard, 700 ms at most; the newest counts; a report of draining and a deregistration never wait. Ruled out: refusing them, since the server would report again only after its interval. Test: [hosting], red when the report is handled at once. - A planned stop could end while a request was read in part, or an answer sent in part: quiet counted whole requests only. It now looks at each connection. Bounded by the grace time as before.

--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -1,6 +1,7 @@
 /** @file hosting_test.cpp Tests of HostScheduler and NestedFailures. */
 #include "hosting/host_scheduler.h"
 #include "hosting/nested_failures.h"
+#include "hosting/startup_reports.h"
 
 #include <catch2/catch.hpp>
 
@@ -95,6 +96,39 @@
     }
 }
 
+TEST_CASE("after a restart of the daemon a late report does not bring back a server that had left",
+          "[hosting]")
+{
+    StartupReports startup({Duration{700}, 2}, NOW);
+    HostScheduler scheduler{HostSchedulerOptions()};
+    REQUIRE(startup.hold(makeReport("left", 10, 5), NOW + Duration{50}));
+    CHECK_FALSE(startup.release(NOW + Duration{60}));
+    // The first peers report which server had left here; then the held report is handled.
+    startup.peerHeard();
+    CHECK_FALSE(startup.release(NOW + Duration{60}));
+    scheduler.handleDeregistration("left", 0, NOW + Duration{70});
+    startup.peerHeard();
+    const auto held = startup.release(NOW + Duration{70});
+    REQUIRE(held);
+    scheduler.handleReport(*held, NOW + Duration{70});
+    CHECK(scheduler.load(NOW).state == HostState::None);
+    CHECK_FALSE(startup.release(NOW + Duration{80}));
+    CHECK_FALSE(startup.hold(makeReport("next", 20, 1), NOW + Duration{80}));
+}
+
+TEST_CASE("reports wait for peers only briefly, the newest one counts, and leaving never waits",
+          "[hosting]")
+{
+    StartupReports startup({Duration{700}, 2}, NOW);
+    CHECK(startup.hold(makeReport("a", 10, 5), NOW));
+    CHECK(startup.hold(makeReport("b", 20, 1), NOW));
+    CHECK(startup.hold(makeReport("a", 10, 6), NOW));
+    CHECK_FALSE(startup.hold(makeReport("b", 20, 2, true), NOW));
+    CHECK_FALSE(startup.release(NOW + Duration{699}));
+    REQUIRE(startup.release(NOW + Duration{700}));
+    CHECK_FALSE(startup.hold(makeReport("b", 20, 3), NOW + Duration{700}));
+}
+
 TEST_CASE("reports are ordered by start time and sequence number", "[hosting]")
 {
     HostScheduler scheduler = readyScheduler();
--- a/src/node/caller_session.h
+++ b/src/node/caller_session.h
@@ -64,6 +64,8 @@
     bool isFromLocalServer() const { return m_fromLocalServer; }
     /** @return true when no request is received in part or waits for its response. */
     bool isIdle() const { return m_queue.empty() && !m_reader.inRequest(); }
+    /** @return number of bytes of responses that the operating system has not taken yet. */
+    std::size_t unsentBytes() const { return m_output->unsentBytes(); }
 
     void received(std::string_view bytes) override;
     void disconnected(DisconnectReason reason) override;
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -69,6 +69,7 @@
     , m_quarantine(quarantineOptions())
     , m_bulk(loop, outputOptions(m_settings))
     , m_hostCalls(loop, adapter.callFields(), *this, m_log, m_bulk.scheduler())
+    , m_startupReports(StartupReportsOptions(), loop.now())
     , m_dispatcher(
           m_peers, m_budget, [this] { return m_shuttingDown ? HostLoad() : m_hostCalls.load(); },
           DispatchOptions(), seedOf(m_settings))
@@ -163,9 +164,16 @@
         reload();
 }
 
+void ProxyNode::releaseStartupReport()
+{
+    if (const auto report = m_startupReports.release(m_loop.now()))
+        m_hostCalls.handleReport(*report);
+}
+
 void ProxyNode::tick()
 {
     const TimePoint now = m_loop.now();
+    releaseStartupReport();
     m_budget.setDaemonCount(m_peers.responsiveDaemonCount(now));
     m_links.tick();
     m_hostCalls.tick();
@@ -197,6 +205,18 @@
     return deadline > m_shutdownStartedAt + m_settings.grace - GRACE_RESERVE;
 }
 
+/** @return true when no request is received in part, in progress or answered in part. */
+bool ProxyNode::isQuiet() const
+{
+    const bool sessionsIdle
+        = std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto &session) {
+              return session->isIdle() && session->unsentBytes() == 0;
+          });
+    return sessionsIdle && m_pendingRequests.empty() && m_hostCalls.callCount() == 0
+           && m_bulk.scheduler().backlogBytes() == 0
+           && m_loop.now() - m_lastRequestAt >= QUIET_TIME;
+}
+
 /** Stops the loop when callers know of the shutdown and no request is in progress, or at the end of
  * the grace. */
 void ProxyNode::checkShutdown()
@@ -206,10 +226,7 @@
     const bool graceOver = elapsed >= m_settings.grace - GRACE_RESERVE;
     const bool callersKnow
         = elapsed >= SHUTDOWN_NOTICE_TIME || m_notReadyReplies >= MIN_NOT_READY_REPLIES;
-    const bool quiet = m_pendingRequests.empty() && m_hostCalls.callCount() == 0
-                       && m_bulk.scheduler().backlogBytes() == 0
-                       && now - m_lastRequestAt >= QUIET_TIME;
-    if (!graceOver && !(callersKnow && quiet))
+    if (!graceOver && !(callersKnow && isQuiet()))
         return;
     perform(m_dispatcher.endAll());
     logLifecycleEvent("stopped");
@@ -247,7 +264,8 @@
     const ServerReport &report = notice.value().report;
     if (notice.value().isDeregistration)
         m_hostCalls.handleDeregistration(report);
-    else if (report.address.ip == m_settings.server.ip)
+    else if (report.address.ip == m_settings.server.ip
+             && !m_startupReports.hold(report, m_loop.now()))
         m_hostCalls.handleReport(report);
     return m_adapter.acknowledgement();
 }
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "dispatch/dispatcher.h"
 #include "fleet/peer_discovery.h"
+#include "hosting/startup_reports.h"
 #include "log/decision_log.h"
 #include "loop/event_loop.h"
 #include "metrics/metrics.h"
@@ -138,7 +139,9 @@
 
     void tick();
     void checkSettingsFile(TimePoint now);
+    void releaseStartupReport();
     void checkShutdown();
+    bool isQuiet() const;
     /** @return true when the process may stop before @p deadline, so that a request with this
      * deadline is not accepted. */
     bool stopsBefore(TimePoint deadline) const;
@@ -158,6 +161,7 @@
     RecentRefusals m_recentRefusals;
     BulkWriter m_bulk;
     HostCallExecutor m_hostCalls;
+    StartupReports m_startupReports;
     Dispatcher m_dispatcher;
     StoreEra m_storeEra;
     RouteReplicator m_replicator;
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -82,6 +82,8 @@
         fields.add("peer", name.text());
         fields.add("restarted", std::int64_t{restarted ? 1 : 0});
     });
+    m_startupReports.peerHeard();
+    releaseStartupReport();
     for (const CrashReport &report : m_quarantine.reports(now))
         m_links.sendRequest(name, LinkCrashReport{report});
     perform(m_dispatcher.linkOpened(name, restarted, now));
