Feature: link: daemons of an earlier build and of this one carry calls between them

Cause: bodies in parts had raised the format of links, so daemons of two builds did not link to each other while a fleet is replaced. Ruled out: speaking two formats. New elements at the end of a message are ignored by the earlier build, whose own messages lack them. Change: the format stays 2; a hello says that parts are read, and a peer that does not say so gets bodies whole; figures that are missing read as 0.

--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -31,6 +31,13 @@
 static_assert(std::variant_size_v<LinkMessage> == static_cast<std::size_t>(Kind::Count),
               "each message needs a kind");
 
+/** @return an element that daemons of an earlier build leave out, or @p fallback. */
+template<typename T>
+T optionalAt(const Json &list, std::size_t index, T fallback)
+{
+    return index < list.size() ? list[index].get<T>() : fallback;
+}
+
 Json toBinaryJson(const std::string &text)
 {
     return Json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
@@ -103,8 +110,8 @@
     load.workMs = list.at(6).get<int>() / 10.0;
     load.failureRate = list.at(7).get<int>() / 1000.0;
     load.cold = list.at(8).get<bool>();
-    load.linkBytesPerSecond = list.at(9).get<std::uint64_t>();
-    load.linkBytesCommitted = list.at(10).get<std::uint64_t>();
+    load.linkBytesPerSecond = optionalAt(list, 9, std::uint64_t{0});
+    load.linkBytesCommitted = optionalAt(list, 10, std::uint64_t{0});
     return load;
 }
 
@@ -159,9 +166,8 @@
     for (std::size_t i = 0; i + 1 < parts.size(); i += 2)
         route.split.push_back(
             {ServiceName(parts[i].get<std::string>()), parts[i + 1].get<unsigned>()});
-    if (list.size() > 9)
-        route.reading = static_cast<RouteReading>(list.at(9).get<unsigned>()
-                                                  % static_cast<unsigned>(RouteReading::Count));
+    route.reading = static_cast<RouteReading>(optionalAt(list, 9, 0U)
+                                              % static_cast<unsigned>(RouteReading::Count));
     return route;
 }
 
@@ -214,7 +220,8 @@
 {
     Json operator()(const LinkHello &m) const
     {
-        return {Kind::Hello, m.format, toJson(m.sender), m.version, m.recipient.text()};
+        return {Kind::Hello, m.format,           toJson(m.sender),
+                m.version,   m.recipient.text(), m.acceptsBodyParts};
     }
     Json operator()(const LinkDaemonState &m) const
     {
@@ -312,7 +319,7 @@
     m.outcome.response.body = bytesFromJson(list.at(9));
     m.load = loadFromJson(list.at(10));
     m.outcome.nestedFailure = list.at(11).get<bool>();
-    m.bodyBytesToFollow = list.at(12).get<std::uint64_t>();
+    m.bodyBytesToFollow = optionalAt(list, 12, std::uint64_t{0});
     return m;
 }
 
@@ -321,7 +328,8 @@
     switch (static_cast<Kind>(list.at(0).get<unsigned>())) {
     case Kind::Hello:
         return LinkHello{list.at(1).get<unsigned>(), recordFromJson(list.at(2)),
-                         list.at(3).get<Revision>(), ServerId(list.at(4).get<std::string>())};
+                         list.at(3).get<Revision>(), ServerId(list.at(4).get<std::string>()),
+                         optionalAt(list, 5, false)};
     case Kind::DaemonState:
         return LinkDaemonState{ServerId(list.at(1).get<std::string>()),
                                list.at(2).get<std::uint64_t>(),
@@ -330,7 +338,7 @@
                                {list.at(5).get<std::int64_t>()},
                                list.at(6).get<bool>(),
                                list.at(8).get<bool>(),
-                               list.at(9).get<std::uint64_t>(),
+                               optionalAt(list, 9, std::uint64_t{0}),
                                list.at(7).get<std::string>()};
     case Kind::Call:
         return callFromJson(list);
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -14,7 +14,7 @@
 namespace cornelwell {
 
 /** Version of the message format. Daemons with different versions do not link to each other. */
-constexpr unsigned LINK_FORMAT = 3;
+constexpr unsigned LINK_FORMAT = 2;
 
 /** First message on a link, from the daemon that opened it. */
 struct LinkHello
@@ -23,6 +23,8 @@
     DaemonRecord sender;           ///< Announcement of the sender.
     Revision version = 0;          ///< Version of the routes that the sender has in force.
     ServerId recipient; ///< Expected name of the accepting daemon; its address may be reassigned.
+    /** The sender reads LinkBodyPart; daemons built before that message do not say so. */
+    bool acceptsBodyParts = true;
 };
 /** State of the accepting daemon. It answers the hello; updates follow on the same link. */
 struct LinkDaemonState
--- a/src/link/tests/link_test.cpp
+++ b/src/link/tests/link_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <random>
 
 using namespace cornelwell;
@@ -120,3 +122,35 @@
     CHECK(read.limits.bodyBytes == 77);
     CHECK(read.baseVersion == 7);
 }
+
+TEST_CASE("messages of a daemon built before large answers came in parts are read", "[link]")
+{
+    const auto withoutLast = [](const LinkMessage &message, std::size_t added) {
+        const std::string bytes = encodeLinkMessage(message).substr(4);
+        auto list = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+        for (std::size_t i = 0; i < added; i++)
+            list.erase(list.size() - 1);
+        for (auto &item : list) {
+            // The load of the server, with its two figures of the link.
+            if (item.is_array() && item.size() == 11)
+                item.erase(item.size() - 1), item.erase(item.size() - 1);
+        }
+        std::string old;
+        nlohmann::json::to_cbor(list, old);
+        return old;
+    };
+    const auto hello = decodeLinkMessage(withoutLast(LinkHello(), 1));
+    REQUIRE(hello);
+    CHECK_FALSE(std::get<LinkHello>(hello.value()).acceptsBodyParts);
+    LinkResult result;
+    result.offer = 7;
+    result.outcome.response.body = "whole";
+    const auto read = decodeLinkMessage(withoutLast(result, 1));
+    REQUIRE(read);
+    CHECK(std::get<LinkResult>(read.value()).bodyBytesToFollow == 0);
+    CHECK(std::get<LinkResult>(read.value()).outcome.response.body == "whole");
+    CHECK(std::get<LinkResult>(read.value()).load.linkBytesPerSecond == 0);
+    const auto state = decodeLinkMessage(withoutLast(LinkDaemonState(), 1));
+    REQUIRE(state);
+    CHECK(std::get<LinkDaemonState>(state.value()).storeEra == 0);
+}
--- a/src/node/peer_links.cpp
+++ b/src/node/peer_links.cpp
@@ -172,21 +172,19 @@
 
 bool PeerLinks::sendResult(const ServerId &peer, std::uint64_t incarnation, LinkResult result)
 {
-    std::string body;
-    if (result.outcome.response.body.size() >= BULK_BYTES_MIN) {
-        body = std::move(result.outcome.response.body);
-        result.outcome.response.body.clear();
-        result.bodyBytesToFollow = body.size();
-    }
+    const auto found = m_inboundLinks.find(peer);
+    if (found == m_inboundLinks.end())
+        return false;
+    const auto link = found->second;
+    if (!link->acceptsBodyParts || result.outcome.response.body.size() < BULK_BYTES_MIN)
+        return sendAnswer(peer, incarnation, result);
+    std::string body = std::move(result.outcome.response.body);
+    result.outcome.response.body.clear();
+    result.bodyBytesToFollow = body.size();
     const OfferId offer = result.offer;
     if (!sendAnswer(peer, incarnation, result))
         return false;
-    if (!body.empty()) {
-        const auto found = m_inboundLinks.find(peer);
-        if (found == m_inboundLinks.end())
-            return false;
-        found->second->sendBody(offer, std::move(body));
-    }
+    link->sendBody(offer, std::move(body));
     return true;
 }
 
--- a/src/node/peer_links_internal.h
+++ b/src/node/peer_links_internal.h
@@ -227,8 +227,9 @@
         m_links.inboundLinkClosed(*this);
     }
 
-    DaemonRecord peer;       ///< Set when the hello arrives.
-    TimePoint lastSentAt{0}; ///< When the last message was sent; each carries the load.
+    DaemonRecord peer;             ///< Set when the hello arrives.
+    bool acceptsBodyParts = false; ///< The peer reads LinkBodyPart.
+    TimePoint lastSentAt{0};       ///< When the last message was sent; each carries the load.
 
 private:
     bool handleMessage(LinkMessage message)
@@ -243,6 +244,7 @@
                 return true;
             }
             peer = hello->sender;
+            acceptsBodyParts = hello->acceptsBodyParts;
             m_links.replaceInboundLink(*this);
             m_links.m_retries.erase(peer.name);
             m_links.m_listener.peerAnnounced(peer);
--- a/src/node/tests/endless_bytes_test.cpp
+++ b/src/node/tests/server_trouble_test.cpp
@@ -1,4 +1,5 @@
-/** @file endless_bytes_test.cpp Servers that send bytes without end, and calls that never end. */
+/** @file server_trouble_test.cpp Servers that send bytes without end, end connections, or never
+ * answer. */
 #include "exchange/message_func.h"
 #include "node/host_call_executor.h"
 
@@ -56,6 +57,7 @@
     }
 
     const Flood *flood = nullptr; ///< Null: answers well.
+    bool resets = false;          ///< Ends each connection that carries a request.
     std::size_t open() const { return m_clients.size(); }
 
 private:
@@ -70,6 +72,12 @@
         void start() { m_connection->start(*this); }
         void received(std::string_view) override
         {
+            if (m_server.resets) {
+                m_connection->close();
+                const auto self = shared_from_this();
+                m_server.m_loop.after({0}, [self] { self->m_server.m_clients.erase(self); });
+                return;
+            }
             if (m_server.flood == nullptr) {
                 m_connection->write(
                     "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok");
@@ -118,9 +126,10 @@
         outcomes[origin.offer] = outcome;
     }
     void serverStateChanged() override {}
-    void requestSuspectedOfCrash(std::uint64_t, const std::string &) override {}
+    void requestSuspectedOfCrash(std::uint64_t, const std::string &) override { crashSuspects++; }
 
     std::map<OfferId, HostOutcome> outcomes;
+    int crashSuspects = 0;
 };
 
 struct Fixture
@@ -255,3 +264,23 @@
     CHECK(fixture.executor.findOutcome({ServerId("a"), 1, CALLS})->state == RunState::Answered);
     CHECK(fixture.executor.findOutcome({ServerId("a"), 1, 1})->state == RunState::Unknown);
 }
+
+TEST_CASE("a full server that ends connections is not taken for a dead one", "[node]")
+{
+    Fixture fixture(47325);
+    fixture.server.resets = true;
+    for (OfferId offer = 1; offer <= 8; offer++) {
+        fixture.offer(offer, offer % 2 == 0, seconds(20));
+        fixture.runUntil([&] { return fixture.listener.outcomes.count(offer) != 0; });
+        REQUIRE(fixture.listener.outcomes.count(offer) != 0);
+        // It read the request, so it may have run it.
+        CHECK(fixture.listener.outcomes[offer].state == RunState::Unknown);
+        CHECK(fixture.listener.outcomes[offer].sentToServer);
+    }
+    CHECK(fixture.executor.load().state == HostState::Ready);
+    CHECK(fixture.listener.crashSuspects == 0);
+    fixture.server.resets = false;
+    fixture.offer(9, false, seconds(20));
+    fixture.runUntil([&] { return fixture.listener.outcomes.count(9) != 0; });
+    CHECK(fixture.listener.outcomes[9].state == RunState::Answered);
+}
