Codechange: hosting, node: the wait for slot or link in one place, bodies of a link as a type

From reading the change as a whole: the wait for a slot or the link stood twice and the advice of a refusal knew only the slot (a download refused for the link was told 60 ms, now the time that the link needs: [hosting], 545 ms in its case); the two outcomes "may have run" are one function; a body on a link is a type with a function in place of a lambda with three captures; `hosted` lines tell link_bytes. Test: a connection is not idle while a request is half read or an answer half sent (the condition of a planned stop).

--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -194,6 +194,17 @@
     return m_bulkBytesExpected + (m_link == nullptr ? 0 : m_link->backlogBytes());
 }
 
+/** @return expected wait for a slot, or for the link when that one is longer. */
+Duration HostScheduler::expectedDelay(const HostCall &call, TimePoint now) const
+{
+    const Duration slotWait = expectedWait(call.rank, now);
+    if (call.bulkBytes == 0)
+        return slotWait;
+    // The link carries earlier answers while this call waits for a slot and runs.
+    const double linkWaitMs = linkTimeMs(linkBytesCommitted()) - expectedProcessingMs(call.route);
+    return {std::max(slotWait.ms, static_cast<std::int64_t>(linkWaitMs))};
+}
+
 HostReason HostScheduler::checkAdmission(HostCall &call, TimePoint now) const
 {
     if (m_shuttingDown)
@@ -208,11 +219,7 @@
     const Duration minTime{static_cast<std::int64_t>(processingMs * PROCESSING_SHARE_MIN)};
     if (now + minTime > call.deadline)
         return HostReason::TooLate;
-    const Duration slotWait = expectedWait(call.rank, now);
-    // The link carries earlier answers while this call waits for a slot and runs.
-    const double linkWaitMs
-        = call.bulkBytes == 0 ? 0 : linkTimeMs(linkBytesCommitted()) - processingMs;
-    const Duration wait{std::max(slotWait.ms, static_cast<std::int64_t>(linkWaitMs))};
+    const Duration wait = expectedDelay(call, now);
     if (wait.ms == 0)
         return HostReason::None;
     if (call.queueWaitMax.ms >= 0 && wait > call.queueWaitMax)
@@ -235,7 +242,7 @@
     call.bulkBytes = expectedBulkBytes(call);
     const HostReason reason = checkAdmission(call, now);
     if (reason != HostReason::None)
-        return {makeRefusal(call.id, reason, expectedWait(call.rank, now))};
+        return {makeRefusal(call.id, reason, expectedDelay(call, now))};
     m_bulkBytesExpected += call.bulkBytes;
     m_queue.emplace(QueueKey{call.rank, call.id}, call);
     return startQueued(now);
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -110,6 +110,7 @@
     HostDecisions startQueued(TimePoint now);
     double expectedProcessingMs(const std::string &route) const;
     Duration expectedWait(unsigned rank, TimePoint now) const;
+    Duration expectedDelay(const HostCall &call, TimePoint now) const;
     std::uint64_t expectedBulkBytes(const HostCall &call) const;
     double linkTimeMs(std::uint64_t bytes) const;
     std::uint64_t linkBytesCommitted() const;
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -277,7 +277,10 @@
     CHECK(starts(scheduler.submit(makeDownload(1), NOW), 1));
     CHECK(starts(scheduler.submit(makeDownload(2), NOW), 2));
     CHECK(starts(scheduler.submit(makeDownload(3), NOW), 3));
-    CHECK(refuses(scheduler.submit(makeDownload(4), NOW), 4, HostReason::Full));
+    const HostDecisions full = scheduler.submit(makeDownload(4), NOW);
+    CHECK(refuses(full, 4, HostReason::Full));
+    // The advice is the time that the link needs for the answers before this one.
+    CHECK(full.at(0).retryAfter.ms == Approx(545).margin(5));
     CHECK(scheduler.load(NOW).linkBytesCommitted == Approx(600'000).margin(10));
     CHECK(scheduler.load(NOW).linkBytesPerSecond == 930'000);
     CHECK(starts(scheduler.submit(makeCall(5), NOW), 5));
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -33,6 +33,15 @@
     return outcome;
 }
 
+HostOutcome mayHaveRunOutcome(HostReason reason)
+{
+    HostOutcome outcome;
+    outcome.state = RunState::Unknown;
+    outcome.reason = reason;
+    outcome.sentToServer = true;
+    return outcome;
+}
+
 } // namespace
 
 HostCallExecutor::HostCallExecutor(EventLoop &loop, const CallFields &fields,
@@ -139,11 +148,7 @@
         m_pool.abort(id);
         const HostDecisions decisions
             = m_scheduler.complete(id, HostFinish::Broken, now - m_calls.at(id).arrived, now);
-        HostOutcome outcome;
-        outcome.state = RunState::Unknown;
-        outcome.reason = HostReason::Broken;
-        outcome.sentToServer = true;
-        completeCall(id, outcome);
+        completeCall(id, mayHaveRunOutcome(HostReason::Broken));
         execute(decisions);
     }
 }
@@ -280,6 +285,7 @@
         fields.add("left_ms", (call.deadline - now).ms);
         fields.add("running", std::uint64_t{m_scheduler.running()});
         fields.add("waiting", std::uint64_t{m_scheduler.queued()});
+        fields.add("link_bytes", m_scheduler.load(now).linkBytesCommitted);
     });
     if (!call.call.idempotent)
         keepOutcome(call, outcome);
@@ -309,11 +315,7 @@
     const TimePoint now = m_loop.now();
     const HostDecisions decisions
         = m_scheduler.complete(id, HostFinish::Cancelled, now - call.arrived, now);
-    HostOutcome outcome;
-    outcome.state = RunState::Unknown;
-    outcome.reason = HostReason::Cancelled;
-    outcome.sentToServer = true;
-    completeCall(id, outcome);
+    completeCall(id, mayHaveRunOutcome(HostReason::Cancelled));
     execute(decisions);
 }
 
@@ -337,12 +339,8 @@
     const auto kept = m_keptOutcomes.find(origin);
     if (kept != m_keptOutcomes.end())
         return kept->second.outcome;
-    HostOutcome unknown = notRunOutcome(HostReason::Forgotten, {0});
-    if (m_loop.now() < m_outcomesMissingUntil) {
-        unknown.state = RunState::Unknown;
-        unknown.sentToServer = true;
-    }
-    return unknown;
+    return m_loop.now() < m_outcomesMissingUntil ? mayHaveRunOutcome(HostReason::Forgotten)
+                                                 : notRunOutcome(HostReason::Forgotten, {0});
 }
 
 void HostCallExecutor::keepOutcome(const Call &call, const HostOutcome &outcome)
--- a/src/node/peer_links_internal.h
+++ b/src/node/peer_links_internal.h
@@ -190,21 +190,12 @@
     {
         stopBody(offer);
         const std::size_t size = body.size();
-        m_bodies[offer]
-            = m_links.m_bulk.add(size, [weak = weak_from_this(), offer,
-                                        text = std::make_shared<std::string>(std::move(body)),
-                                        at = std::make_shared<std::size_t>(0)](std::size_t bytes) {
+        OutgoingBody &outgoing = m_bodies[offer];
+        outgoing.bytes = std::move(body);
+        outgoing.flow
+            = m_links.m_bulk.add(size, [weak = weak_from_this(), offer](std::size_t bytes) {
                   const auto link = weak.lock();
-                  if (!link || !link->m_connection->isOpen())
-                      return BulkProgress::Ended;
-                  if (link->m_connection->unsentBytes() > BULK_UNSENT_BYTES_MAX)
-                      return BulkProgress::Blocked;
-                  link->m_connection->write(
-                      encodeLinkMessage(LinkBodyPart{offer, text->substr(*at, bytes)}));
-                  *at += bytes;
-                  if (*at == text->size())
-                      link->m_bodies.erase(offer);
-                  return BulkProgress::Sent;
+                  return link ? link->sendBodyPart(offer, bytes) : BulkProgress::Ended;
               });
     }
 
@@ -214,7 +205,7 @@
         const auto found = m_bodies.find(offer);
         if (found == m_bodies.end())
             return;
-        m_links.m_bulk.remove(found->second);
+        m_links.m_bulk.remove(found->second.flow);
         m_bodies.erase(found);
     }
 
@@ -232,6 +223,30 @@
     TimePoint lastSentAt{0};       ///< When the last message was sent; each carries the load.
 
 private:
+    /** A body that leaves in parts. */
+    struct OutgoingBody
+    {
+        OutputFlowId flow = 0;
+        std::string bytes;
+        std::size_t sent = 0; ///< Bytes that have left.
+    };
+
+    BulkProgress sendBodyPart(OfferId offer, std::size_t bytes)
+    {
+        const auto found = m_bodies.find(offer);
+        if (found == m_bodies.end() || !m_connection->isOpen())
+            return BulkProgress::Ended;
+        if (m_connection->unsentBytes() > BULK_UNSENT_BYTES_MAX)
+            return BulkProgress::Blocked;
+        OutgoingBody &body = found->second;
+        m_connection->write(
+            encodeLinkMessage(LinkBodyPart{offer, body.bytes.substr(body.sent, bytes)}));
+        body.sent += bytes;
+        if (body.sent == body.bytes.size())
+            m_bodies.erase(found);
+        return BulkProgress::Sent;
+    }
+
     bool handleMessage(LinkMessage message)
     {
         if (const auto *hello = std::get_if<LinkHello>(&message)) {
@@ -263,7 +278,7 @@
     PeerLinks &m_links;
     TcpConnectionPtr m_connection;
     LinkReader m_reader;
-    std::map<OfferId, OutputFlowId> m_bodies; ///< Bodies that are being sent.
+    std::map<OfferId, OutgoingBody> m_bodies; ///< Bodies that are being sent.
 };
 
 } // namespace cornelwell
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -2,6 +2,7 @@
  * addresses. */
 #include "log/decision_log.h"
 #include "manual_clock.h"
+#include "node/caller_session.h"
 #include "node/paced_output.h"
 #include "node/peer_links.h"
 #include "node/recent_refusals.h"
@@ -71,6 +72,8 @@
 /** Runs the loop until the condition holds, at most 20 s. */
 void runUntil(EventLoop &loop, const std::function<bool()> &done)
 {
+    if (done())
+        return;
     int checksLeft = 2000;
     std::function<void()> check = [&] {
         if (done() || --checksLeft == 0)
@@ -272,6 +275,61 @@
     CHECK(output->unsentBytes() == 0);
 }
 
+TEST_CASE("a connection is not idle while a request is half read or an answer half sent", "[node]")
+{
+    EventLoop loop;
+    OutputSchedulerOptions slowLink;
+    slowLink.bytesPerSecond = 400'000;
+    BulkWriter bulk(loop, slowLink);
+    struct Owner : public CallerSessionOwner
+    {
+        TrafficLimits limits() const override { return {}; }
+        bool shouldCloseConnections() const override { return false; }
+        bool mayRunConcurrently(const HttpRequest &) const override { return true; }
+        BulkWriter *bulkWriter() override { return writer; }
+        PendingRequestId newRequestId() override { return ++last; }
+        void handleRequest(CallerSession &session, PendingRequestId id, IncomingRequest) override
+        {
+            HttpResponse response;
+            response.status = 200;
+            response.body.assign(100'000, 'x');
+            session.respond(id, response);
+        }
+        void callerDisconnected(PendingRequestId) override {}
+        void sessionClosed(CallerSession &) override {}
+
+        BulkWriter *writer = nullptr;
+        PendingRequestId last = 0;
+    } owner;
+    owner.writer = &bulk;
+    struct Caller : public ConnectionHandler
+    {
+        void received(std::string_view bytes) override { count += bytes.size(); }
+        void disconnected(DisconnectReason) override {}
+        std::size_t count = 0;
+    } caller;
+    std::shared_ptr<CallerSession> session;
+    const auto listener
+        = TcpListener::listen(loop, {"127.0.0.1", 47320}, [&](TcpConnectionPtr connection) {
+              session = std::make_shared<CallerSession>(loop, owner, std::move(connection), false);
+              session->start();
+          });
+    REQUIRE(listener);
+    const auto connection = TcpConnection::open(loop, {"127.0.0.1", 47320}, Duration{1000}, caller);
+    runUntil(loop, [&] { return session != nullptr; });
+    CHECK(session->isIdle());
+    connection->write("GET / HTTP/1.1\r\nHost");
+    runUntil(loop, [&] { return !session->isIdle(); });
+    CHECK_FALSE(session->isIdle());
+    connection->write(": h\r\n\r\n");
+    runUntil(loop, [&] { return session->isIdle() && session->unsentBytes() > 0; });
+    CHECK(session->unsentBytes() > 0);
+    runUntil(loop, [&] { return caller.count > 100'000 && session->unsentBytes() == 0; });
+    CHECK(session->isIdle());
+    CHECK(session->unsentBytes() == 0);
+    session->close();
+}
+
 TEST_CASE("the decision log is bounded, and failures have a reserved share", "[log]")
 {
     ManualClock clock;
