--- a/src/replication/tests/replication_test.cpp
+++ b/src/replication/tests/replication_test.cpp
@@ -355,6 +355,26 @@
     FAIL("the daemon does not watch again");
 }
 
+TEST_CASE("without polling too, a revision of an earlier era is not watched", "[replication]")
+{
+    PeerTable peers{record("me", "east"), PeerOptions()};
+    ReplicationOptions options;
+    options.pollAfterFailure = {0};
+    RouteReplicator replicator{peers, options, 1};
+    replicator.start(NOW);
+    replicator.handleReadAnswer(storedDocument(500, 7), NOW);
+    const TimePoint now = NOW + seconds(2);
+    REQUIRE(findAction<WatchRoutes>(replicator.tick(now)));
+    replicator.handleStoreRestored(now);
+    const auto actions = replicator.handleWatchAnswer(noDocument(480), now);
+    CHECK(findAction<ReadRoutes>(actions));
+    CHECK_FALSE(findAction<WatchRoutes>(actions));
+    replicator.handleReadAnswer(storedDocument(485, 7), now);
+    const auto next = replicator.tick(now + seconds(1));
+    REQUIRE(findAction<WatchRoutes>(next));
+    CHECK(findAction<WatchRoutes>(next)->storeRevision == 485);
+}
+
 TEST_CASE("a store that came back older never takes a version out of force", "[replication]")
 {
     Fixture fixture;
