Fix: node: the era of a peer that lags behind is not logged as an outdated answer

Cause, found on reading the change: each state of a peer that had not heard of a new era yet wrote a line store_answer_outdated, though nothing was dropped.

--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -155,7 +155,9 @@
         deregistered.instance = state.deregisteredInstance;
         m_hostCalls.handleDeregistration(deregistered);
     }
-    observeStoreEra(state.storeEra, name.text());
+    // A peer that has not heard of the newest era yet is no news.
+    if (state.storeEra > m_storeEra.current())
+        observeStoreEra(state.storeEra, name.text());
     const bool versionChanged = state.version != peer->version;
     peer->version = state.version;
     if (versionChanged)
