Feature: node: what servers say of themselves in answers is read, logged and shown, not yet followed

The logs could not tell the three hypotheses of the incident apart: no line held what a server names in its answers. Server-Limit and Server-Leaving are parsed (platform/ names the fields), kept for the server that sent them, logged when they change (server_advisory), named on each hosted line and in the gauge server_limit_per_second. No decision uses them.

--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -38,6 +38,7 @@
     std::uint64_t linkBytesPerSecond = 0;
     /** Bytes of large answers that wait for the link, or are expected of calls accepted so far. */
     std::uint64_t linkBytesCommitted = 0;
+    double requestsPerSecond = 0; ///< Limit that the server has named; 0: none.
 };
 
 /** Announcement of a daemon: its identity and where it accepts links. */
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -62,6 +62,7 @@
         m_failureRate = 0;
         m_processingMsByRoute.clear();
         m_meanProcessingMs = 0;
+        m_advisory = {};
     }
     m_server = report;
     m_coldUntil = now + report.warmUpLeft;
@@ -281,12 +282,23 @@
         }
         decisions.push_back({call.id, HostVerdict::Start, HostReason::None, {0}});
         call.started = now;
+        call.instance = m_server.instance;
+        call.serverStartTimeMs = m_server.startTimeMs;
         m_startTimeSumMs += now.ms;
         m_running.emplace(call.id, std::move(call));
     }
     return decisions;
 }
 
+void HostScheduler::handleAdvisory(HostCallId id, const ServerAdvisory &advisory)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end() || found->second.instance != m_server.instance
+        || found->second.serverStartTimeMs != m_server.startTimeMs)
+        return;
+    m_advisory = advisory;
+}
+
 HostDecisions HostScheduler::complete(HostCallId id, HostFinish finish, Duration processingTime,
                                       TimePoint now, std::size_t answerBytes)
 {
@@ -366,6 +378,7 @@
     if (m_link != nullptr)
         load.linkBytesPerSecond = static_cast<std::uint64_t>(m_link->flowBytesPerSecond());
     load.linkBytesCommitted = linkBytesCommitted();
+    load.requestsPerSecond = m_advisory.requestsPerSecond.value_or(0);
     return load;
 }
 
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -74,6 +74,13 @@
      */
     HostDecisions complete(HostCallId id, HostFinish finish, Duration processingTime, TimePoint now,
                            std::size_t answerBytes = 0);
+    /**
+     * Handles what the server says of itself in its answer to a call. Call it before complete().
+     * @param id The call; the advisory is ignored when another server has registered since it
+     *     started.
+     * @param advisory The advisory.
+     */
+    void handleAdvisory(HostCallId id, const ServerAdvisory &advisory);
     /** Removes a call from the queue. @return false when the call was not queued. */
     bool cancelQueued(HostCallId id);
     /**
@@ -86,6 +93,8 @@
     HostLoad load(TimePoint now) const;
     /** @return the registered server's identity; empty when none is registered. */
     const std::string &instance() const { return m_server.instance; }
+    /** @return the latest advisory of the registered server. */
+    const ServerAdvisory &advisory() const { return m_advisory; }
     /** @return the registered server's address. */
     const Endpoint &address() const { return m_server.address; }
     /** @return number of queued calls. */
@@ -121,7 +130,8 @@
 
     const HostSchedulerOptions m_options;
     const OutputScheduler *m_link = nullptr;
-    ServerReport m_server; ///< Latest report of the registered server.
+    ServerReport m_server;     ///< Latest report of the registered server.
+    ServerAdvisory m_advisory; ///< Latest advisory of the registered server.
     HostState m_state = HostState::None;
     bool m_shuttingDown = false; ///< The daemon shuts down.
     TimePoint m_coldUntil{0};    ///< The server is slow after its start until then.
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -4,10 +4,12 @@
 #include "base/clock_type.h"
 #include "base/identifier_type.h"
 #include "fleet/fleet_type.h"
+#include "hosting/server_advisory.h"
 #include "http/http_type.h"
 #include "retry/retry_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -75,6 +77,7 @@
     bool overLink = false;       ///< The answer leaves over the VM's network link.
     std::uint64_t bulkBytes = 0; ///< Expected size of a large answer over the link, else 0.
     TimePoint started{0};        ///< When the call was passed to the server.
+    std::int64_t serverStartTimeMs = 0; ///< Start of that server, as in ServerReport.
     Duration queueWaitMax{-1}; ///< With a longer wait another server is better; below 0: no bound.
 };
 
@@ -88,6 +91,8 @@
     Duration retryAfter;                  ///< Advised wait before a retry.
     Duration processingTime;              ///< Time from sending the request to its end.
     bool nestedFailure = false; ///< A failed call that the server made explains the failure.
+    /** What the server says of itself; nothing unless the registered server sent an answer. */
+    std::optional<Result<ServerAdvisory>> advisory;
 };
 
 /** What the hosting daemon does with a call. */
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -347,3 +347,31 @@
     failures.record(now);
     CHECK_FALSE(failures.takeMatch(now + seconds(1)));
 }
+
+TEST_CASE("an advisory has a decimal limit or none; anything else is an error", "[hosting]")
+{
+    CHECK_FALSE(parseServerAdvisory("", "").value().requestsPerSecond.has_value());
+    CHECK(parseServerAdvisory("12.5", "").value().requestsPerSecond == 12.5);
+    CHECK(parseServerAdvisory("0", "").value().requestsPerSecond == 0.0);
+    CHECK(parseServerAdvisory("3", "1").value().leaving);
+    CHECK_FALSE(parseServerAdvisory("3", "0").value().leaving);
+    for (const char *limit : {"-1", "many", "5x", " 5", "5 ", "nan", "inf", "1e400", "0x10", ","}) {
+        INFO(limit);
+        REQUIRE_FALSE(parseServerAdvisory(limit, ""));
+        CHECK(parseServerAdvisory(limit, "").error().code == ResultCode::ServerAdvisoryMalformed);
+    }
+}
+
+TEST_CASE("an advisory counts for the server that gave it, not for its successor", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleReport(makeReport("a", 10, 1), NOW);
+    scheduler.submit(makeCall(1), NOW);
+    scheduler.submit(makeCall(2), NOW);
+    scheduler.handleAdvisory(1, {5.0, false});
+    CHECK(scheduler.load(NOW).requestsPerSecond == 5.0);
+    scheduler.handleReport(makeReport("a", 20, 1), NOW);
+    CHECK(scheduler.load(NOW).requestsPerSecond == 0);
+    scheduler.handleAdvisory(2, {5.0, false});
+    CHECK(scheduler.load(NOW).requestsPerSecond == 0);
+}
--- a/src/log/decision_log.cpp
+++ b/src/log/decision_log.cpp
@@ -1,6 +1,7 @@
 /** @file decision_log.cpp Writes JSON directly; a document object for each line costs far more. */
 #include "log/decision_log.h"
 
+#include <cstdio>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -59,6 +60,14 @@
     m_text += std::to_string(value);
 }
 
+void LogFields::add(std::string_view name, double value)
+{
+    char text[48];
+    std::snprintf(text, sizeof(text), "%.3f", value);
+    key(name);
+    m_text += text;
+}
+
 DecisionLog::DecisionLog(const Clock &clock, DecisionLogOptions options)
     : m_clock(clock), m_options(options)
 {
--- a/src/log/decision_log.h
+++ b/src/log/decision_log.h
@@ -20,6 +20,8 @@
     void add(std::string_view key, std::int64_t value);
     /** Adds a number. */
     void add(std::string_view key, std::uint64_t value);
+    /** Adds a number with three decimals. */
+    void add(std::string_view key, double value);
     /** @return the fields in JSON without braces, each with a leading comma. */
     const std::string &text() const { return m_text; }
 
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -1,6 +1,7 @@
 /** @file host_call_executor.cpp Calls on the local server, detection of crashes, kept outcomes. */
 #include "node/host_call_executor.h"
 
+#include "base/result_code_func.h"
 #include "exchange/message_func.h"
 
 #include <algorithm>
@@ -196,6 +197,8 @@
     if (broken)
         m_crashSuspects.emplace_back(
             now, std::make_pair(found->second.call.fingerprint, found->second.call.route));
+    if (outcome.advisory)
+        handleAdvisory(id, *outcome.advisory);
     HostDecisions decisions = m_scheduler.complete(id, result.finish, result.processingTime, now,
                                                    outcome.response.body.size());
     completeCall(id, outcome);
@@ -211,6 +214,31 @@
     }
 }
 
+void HostCallExecutor::handleAdvisory(HostCallId id, const Result<ServerAdvisory> &advisory)
+{
+    if (!advisory) {
+        m_log.logStateChange("server_advisory_refused", [&](LogFields &fields) {
+            fields.add("code", std::int64_t{resultCodeNumber(advisory.error().code)});
+            fields.add("detail", advisory.error().detail);
+            fields.add("value", advisory.error().where);
+            fields.add("request", m_calls.at(id).call.requestId);
+        });
+        return;
+    }
+    const ServerAdvisory before = m_scheduler.advisory();
+    m_scheduler.handleAdvisory(id, advisory.value());
+    const ServerAdvisory &after = m_scheduler.advisory();
+    if (before.requestsPerSecond == after.requestsPerSecond && before.leaving == after.leaving)
+        return;
+    m_log.logStateChange("server_advisory", [&](LogFields &fields) {
+        fields.add("instance", m_scheduler.instance());
+        fields.add("limit_per_s", after.requestsPerSecond.value_or(0));
+        fields.add("limit_before", before.requestsPerSecond.value_or(0));
+        fields.add("leaving", std::int64_t{after.leaving ? 1 : 0});
+        fields.add("request", m_calls.at(id).call.requestId);
+    });
+}
+
 void HostCallExecutor::probeServer()
 {
     m_pool.probe(m_scheduler.address(), [this](bool listens) {
@@ -273,6 +301,7 @@
     m_byOrigin.erase(call.origin);
     const TimePoint now = m_loop.now();
     m_log.logRequest("hosted", outcome.state != RunState::Answered, [&](LogFields &fields) {
+        const HostLoad load = m_scheduler.load(now);
         fields.add("request", call.call.requestId);
         fields.add("from", call.origin.daemon.text());
         fields.add("offer", call.origin.offer);
@@ -285,7 +314,9 @@
         fields.add("left_ms", (call.deadline - now).ms);
         fields.add("running", std::uint64_t{m_scheduler.running()});
         fields.add("waiting", std::uint64_t{m_scheduler.queued()});
-        fields.add("link_bytes", m_scheduler.load(now).linkBytesCommitted);
+        fields.add("link_bytes", load.linkBytesCommitted);
+        if (load.requestsPerSecond > 0)
+            fields.add("limit_per_s", load.requestsPerSecond);
     });
     if (!call.call.idempotent)
         keepOutcome(call, outcome);
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -104,6 +104,7 @@
     void execute(const HostDecisions &decisions);
     void start(HostCallId id);
     void handleResult(HostCallId id, const ServerResult &result);
+    void handleAdvisory(HostCallId id, const Result<ServerAdvisory> &advisory);
     void completeCall(HostCallId id, const HostOutcome &outcome);
     void checkUnresponsiveServer();
     void startQueueTimer();
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -18,13 +18,15 @@
 /** Names of the header fields of a call. */
 struct CallFields
 {
-    std::string requestId;  ///< Identifier of the request; servers echo it.
-    std::string deadline;   ///< Time left until the deadline, in milliseconds.
-    std::string instance;   ///< Server instance that the request is meant for.
-    std::string notRun;     ///< Present when the server did not run the request.
-    std::string signature;  ///< Signature of the server on its response.
-    std::string caller;     ///< Service on the VM that the call comes from.
-    std::string retryAfter; ///< Time until the caller should retry, in seconds.
+    std::string requestId;     ///< Identifier of the request; servers echo it.
+    std::string deadline;      ///< Time left until the deadline, in milliseconds.
+    std::string instance;      ///< Server instance that the request is meant for.
+    std::string notRun;        ///< Present when the server did not run the request.
+    std::string signature;     ///< Signature of the server on its response.
+    std::string caller;        ///< Service on the VM that the call comes from.
+    std::string retryAfter;    ///< Time until the caller should retry, in seconds.
+    std::string serverLimit;   ///< Requests a second that a server takes from all daemons.
+    std::string serverLeaving; ///< Present, with value 1, when the server is about to stop.
 };
 
 /** Translates between a platform and this code base's types. It has no state and decides nothing.
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -101,12 +101,14 @@
         }));
     m_readyService = std::move(ready);
     if (m_settings.listen.metrics.port != 0) {
-        BOOST_OUTCOME_TRY(metrics, HttpService::listen(m_loop, m_settings.listen.metrics,
-                                                       [this](const HttpRequest &) {
-                                                           HttpResponse response;
-                                                           response.body = m_metrics.text();
-                                                           return response;
-                                                       }));
+        BOOST_OUTCOME_TRY(
+            metrics,
+            HttpService::listen(m_loop, m_settings.listen.metrics, [this](const HttpRequest &) {
+                HttpResponse response;
+                m_metrics.set("server_limit_per_second", "", m_hostCalls.load().requestsPerSecond);
+                response.body = m_metrics.text();
+                return response;
+            }));
         m_metricsService = std::move(metrics);
     }
     BOOST_OUTCOME_TRY(calls, TcpListener::listen(m_loop, m_settings.listen.calls,
--- a/src/node/server_connection_pool.cpp
+++ b/src/node/server_connection_pool.cpp
@@ -55,12 +55,16 @@
 {
     HostOutcome outcome;
     outcome.sentToServer = true;
+    const Result<ServerAdvisory> advisory = parseServerAdvisory(
+        response.headers.get(fields.serverLimit), response.headers.get(fields.serverLeaving));
     const bool echoesRequestId = response.headers.get(fields.requestId) == requestId;
     if (response.headers.has(fields.notRun)
         && (echoesRequestId || !response.headers.has(fields.requestId))) {
         outcome.state = RunState::NotRun;
         outcome.reason = response.status == MISDIRECTED_REQUEST ? HostReason::InstanceChanged
                                                                 : HostReason::ServerShed;
+        if (outcome.reason == HostReason::ServerShed)
+            outcome.advisory = advisory;
         return outcome;
     }
     if (response.status == MISDIRECTED_REQUEST) {
@@ -77,6 +81,7 @@
         return outcome;
     }
     outcome.state = RunState::Answered;
+    outcome.advisory = advisory;
     outcome.response = std::move(response);
     return outcome;
 }
