Feature: sim, hosting: tests of servers that name a limit or say in answers that they leave, known red

The bounds are those of the platform's rules (1.5 times the limit in 4 s + 5 from 3 s after the first naming; drain-ms), not measured ones.

--- a/sim/fleet_model.h
+++ b/sim/fleet_model.h
@@ -8,6 +8,7 @@
 #include "link/link_message_type.h"
 #include "replication/route_replicator.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,7 +59,16 @@
         unsigned runs = 0;           ///< Arrivals at servers.
         bool reportedNotRun = false; ///< Whether the caller was told that no server ran it.
         TimePoint deadline{0};
+        TimePoint submittedAt{0};
     };
+    /** A request that reached a server. */
+    struct Arrival
+    {
+        TimePoint at{0};
+        std::size_t sender = 0; ///< Daemon that took the request from the caller.
+    };
+    /** When daemons passed on an answer that names something; by daemon and its incarnation. */
+    using ToldAt = std::map<std::pair<std::size_t, std::uint64_t>, TimePoint>;
     /** The local server of a daemon. */
     struct Server
     {
@@ -69,6 +79,11 @@
         bool isDraining = false;
         TimePoint drainingSince = NEVER;
         unsigned restarts = 0;
+        ServerAdvisory advisory;        ///< What its answers say.
+        TimePoint limitNamedAt = NEVER; ///< When it first named its limit.
+        ToldAt limitToldAt;             ///< Answers that named its limit.
+        ToldAt leavingToldAt;           ///< Answers that said that it leaves.
+        std::deque<Arrival> arrivals;   ///< Of the last LIMIT_WINDOW.
     };
     /** A daemon and its local server. The daemon's state is lost when it is killed. */
     struct Node
@@ -138,6 +153,11 @@
     void handleResponse(std::size_t index, PendingRequestId requestId, int status,
                         Duration retryAfter);
     void performActions(std::size_t index, const ReplicationActions &actions);
+    void limitServer(std::size_t index, Duration duration);
+    void leaveByAnswers(std::size_t index);
+    void recordAdvisoryPassedOn(std::size_t index, std::size_t sender,
+                                const ServerAdvisory &advisory);
+    void checkAdvisoryFollowed(std::size_t index, std::size_t sender, TimePoint submittedAt);
     void crashServer(std::size_t index);
     void replaceServer(std::size_t index);
     void startDisruption();
--- a/sim/fleet_model_calls.cpp
+++ b/sim/fleet_model_calls.cpp
@@ -58,7 +58,8 @@
     Node &node = m_nodes[index];
     const PendingRequestId requestId = ++m_lastRequestId;
     m_submissions.push_back({callerRequestIndex, index, 0, false,
-                             callerRequest.arrivedAt + Duration{callerRequest.kind->deadlineMs}});
+                             callerRequest.arrivedAt + Duration{callerRequest.kind->deadlineMs},
+                             m_now});
     node.submissions[requestId] = m_submissions.size() - 1;
     auto route = std::make_shared<Route>(m_document.routes[0]);
     route->name = callerRequest.kind->name;
@@ -204,6 +205,7 @@
         recordViolation("a commitment was run twice");
     if (!callerRequest.kind->idempotent && submission.reportedNotRun)
         recordViolation("a commitment ran after the promise that it does not");
+    checkAdvisoryFollowed(index, found->second.first, submission.submittedAt);
     host.running.insert(id);
     const Duration runTime{
         static_cast<std::int64_t>(callerRequest.workMs / server.speed * server.slowdown)};
@@ -231,6 +233,10 @@
     outcome.response.status = status;
     outcome.reason = state == RunState::Answered ? HostReason::None : HostReason::Broken;
     outcome.processingTime = {150};
+    if (state == RunState::Answered) {
+        outcome.advisory = Result<ServerAdvisory>(host.server.advisory);
+        host.scheduler->handleAdvisory(id, host.server.advisory);
+    }
     const HostDecisions furtherDecisions = host.scheduler->complete(
         id, state == RunState::Answered ? HostFinish::Served : HostFinish::Broken, {150}, m_now);
     sendOutcome(index, id, outcome);
@@ -252,7 +258,9 @@
     if (sender != m_nodes[from].record.incarnation)
         return;
     host.outcomes[{from, offerId}] = outcome;
-    const auto deliver = [this, from, offerId, outcome] {
+    const auto deliver = [this, index, from, offerId, outcome] {
+        if (outcome.advisory)
+            recordAdvisoryPassedOn(index, from, outcome.advisory->value());
         performActions(from, m_nodes[from].dispatcher->offerEnded(offerId, outcome, m_now));
     };
     if (from == index)
--- a/sim/fleet_model_disturb.cpp
+++ b/sim/fleet_model_disturb.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr const char *DISRUPTION_NAMES[]
-    = {"none",         "kill",   "cut",     "slow",  "crash",      "leave",     "overload",
-       "lost-answers", "freeze", "one-way", "lossy", "store-away", "store-down"};
+    = {"none",  "kill",       "cut",          "slow",   "crash",
+       "leave", "overload",   "lost-answers", "freeze", "one-way",
+       "lossy", "store-away", "store-down",   "limit",  "leave-by-answer"};
 static_assert(std::size(DISRUPTION_NAMES) == static_cast<std::size_t>(Disruption::Count),
               "each disruption has a name");
 
@@ -41,6 +42,8 @@
         restarted.server.isDraining = false;
         restarted.server.drainingSince = NEVER;
         restarted.server.instance += "n";
+        restarted.server.advisory = {};
+        restarted.server.leavingToldAt.clear();
     });
 }
 
@@ -105,6 +108,15 @@
     case Disruption::StoreUnavailable:
         disruptStore(third);
         break;
+    case Disruption::LimitServers:
+        for (std::size_t i = 0; i < m_nodes.size() / 2; i++)
+            limitServer((i * 2 + m_options.seed) % m_nodes.size(), third);
+        break;
+    case Disruption::LeaveByAnswers:
+        for (std::size_t i = 0; i < affectedCount; i++)
+            schedule(seconds(static_cast<std::int64_t>(i)),
+                     [this, i] { leaveByAnswers((i * 2 + m_options.seed) % m_nodes.size()); });
+        break;
     case Disruption::None:
     case Disruption::Count:
         break;
--- a/sim/model_type.h
+++ b/sim/model_type.h
@@ -30,7 +30,11 @@
     DelayMessages,     ///< One message of ten is delayed, as by packet retransmission.
     StoreThrottles,    ///< The store throttles a third of the daemons.
     StoreUnavailable,  ///< The store does not respond and loses its watch history.
-    Count,             ///< Number of disruptions; not a disruption itself.
+    LimitServers,      ///< Half of the servers names a limit far below its load; the daemons of
+                       ///< some of them restart meanwhile, twice.
+    LeaveByAnswers, ///< A quarter of the servers, one after another, says only in its answers that
+                    ///< it leaves, while its reports are late; its daemon restarts meanwhile.
+    Count,          ///< Number of disruptions; not a disruption itself.
 };
 
 /** @return the name of the disruption, as used on the command line. */
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -3,6 +3,10 @@
 #include "hosting/nested_failures.h"
 #include "hosting/startup_reports.h"
 
+#include <algorithm>
+#include <map>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 using namespace cornelwell;
@@ -375,3 +379,135 @@
     scheduler.handleAdvisory(2, {5.0, false});
     CHECK(scheduler.load(NOW).requestsPerSecond == 0);
 }
+
+namespace {
+
+constexpr Duration LIMIT_WINDOW{4000}; ///< Any span of this length is counted.
+constexpr Duration LIMIT_SETTLE_TIME{
+    3000};                           ///< The bound holds from this long after the first naming.
+constexpr double LIMIT_FACTOR = 1.5; ///< Bound in a window, over what the limit allows.
+constexpr double LIMIT_SLACK = 5;    ///< Requests allowed besides in each window.
+
+/** A server with 9 slots under steady load in virtual time, driven through a HostScheduler. */
+class LimitedServerRun
+{
+public:
+    LimitedServerRun()
+    {
+        ServerReport report = makeReport("a", 10, 1);
+        report.slots = 9;
+        m_scheduler.handleReport(report, NOW);
+    }
+
+    /** Lets time pass with a call every @p interval ms; answers take 60 ms and carry @p advisory.
+     */
+    void run(Duration span, std::int64_t interval, const ServerAdvisory &advisory)
+    {
+        for (const TimePoint end = m_now + span; m_now < end; m_now = m_now + Duration{1}) {
+            while (!m_running.empty() && m_running.begin()->first <= m_now.ms) {
+                const HostCallId id = m_running.begin()->second;
+                m_running.erase(m_running.begin());
+                m_scheduler.handleAdvisory(id, advisory);
+                apply(m_scheduler.complete(id, HostFinish::Served, {60}, m_now));
+            }
+            if (m_now.ms % 20 == 0)
+                apply(m_scheduler.tick(m_now));
+            if (m_now.ms % interval != 0)
+                continue;
+            HostCall call = makeCall(++m_lastId);
+            call.softDeadline = m_now + Duration{500};
+            call.deadline = m_now + Duration{1200};
+            m_open[call.id] = m_now;
+            apply(m_scheduler.submit(call, m_now));
+        }
+    }
+
+    /** @return most starts in any window that ends at @p from or later. */
+    std::size_t mostInWindow(TimePoint from) const
+    {
+        std::size_t most = 0;
+        for (std::size_t last = 0, first = 0; last < m_starts.size(); last++) {
+            while (m_starts[last] - m_starts[first] > LIMIT_WINDOW)
+                first++;
+            if (m_starts[last] >= from)
+                most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+    /** @return starts between two times. */
+    std::size_t startsBetween(TimePoint from, TimePoint to) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            m_starts.begin(), m_starts.end(), [&](TimePoint at) { return from <= at && at < to; }));
+    }
+
+    TimePoint now() const { return m_now; }
+    HostScheduler &scheduler() { return m_scheduler; }
+    Duration longestWaitToRefusal{0};
+
+private:
+    void apply(const HostDecisions &decisions)
+    {
+        for (const HostDecision &decision : decisions) {
+            if (decision.verdict == HostVerdict::Start) {
+                m_starts.push_back(m_now);
+                m_running.emplace(m_now.ms + 60, decision.id);
+            } else {
+                longestWaitToRefusal
+                    = std::max(longestWaitToRefusal, m_now - m_open.at(decision.id));
+            }
+            m_open.erase(decision.id);
+        }
+    }
+
+    HostScheduler m_scheduler{HostSchedulerOptions()};
+    TimePoint m_now = NOW;
+    HostCallId m_lastId = 0;
+    std::map<HostCallId, TimePoint> m_open; ///< Calls without a decision, by arrival.
+    std::multimap<std::int64_t, HostCallId> m_running;
+    std::vector<TimePoint> m_starts;
+};
+
+double allowedInWindow(double limit)
+{
+    return LIMIT_FACTOR * limit * static_cast<double>(LIMIT_WINDOW.ms) / 1000 + LIMIT_SLACK;
+}
+
+} // namespace
+
+// Guards against admission by slots alone: a server with free slots that has named a limit got
+// everything its callers sent.
+TEST_CASE("a server gets no more requests than the limit that it has named", "[hosting][known-red]")
+{
+    for (const double limit : {0.0, 0.3, 1.5, 4.3, 12.0, 26.6}) {
+        INFO("limit " << limit);
+        LimitedServerRun run;
+        run.run(seconds(5), 20, {});
+        const TimePoint named = run.now();
+        run.run(seconds(20), 10, {limit, false});
+        const auto most = static_cast<double>(run.mostInWindow(named + LIMIT_SETTLE_TIME));
+        CHECK(most <= allowedInWindow(limit));
+    }
+}
+
+// Guards against trust in late reports: a server that leaves and says so in its answers was taken
+// back by a report that still called it ready.
+TEST_CASE("a server whose answer says that it leaves gets no later calls", "[hosting][known-red]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleReport(makeReport("a", 10, 1), NOW);
+    scheduler.submit(makeCall(1), NOW);
+    scheduler.handleAdvisory(1, {std::nullopt, true});
+    scheduler.complete(1, HostFinish::Served, {50}, NOW);
+    CHECK(refuses(scheduler.submit(makeCall(2), NOW), 2, HostReason::ServerDraining));
+    for (std::uint64_t sequence = 2; sequence < 30; sequence++) {
+        const TimePoint at = NOW + seconds(static_cast<std::int64_t>(sequence));
+        scheduler.handleReport(makeReport("a", 10, sequence), at);
+        HostCall call = makeCall(sequence);
+        call.deadline = call.softDeadline = at + seconds(1);
+        CHECK(refuses(scheduler.submit(call, at), sequence, HostReason::ServerDraining));
+    }
+    CHECK_FALSE(starts(scheduler.submit(makeCall(99), NOW), 99));
+    scheduler.handleReport(makeReport("a", 20, 1), NOW);
+    CHECK(starts(scheduler.submit(makeCall(100), NOW), 100));
+}
