Fix: hosting: a server that names a limit gets no more requests than that

Callers saw nothing; a server in need got up to 2.3 times its limit, since its daemon admitted by slots alone. Cause: the hosting daemon treats an answer as the result of one request; what the server says of itself in it had no place in admission. Class: a resource that has a rate was not a resource of the scheduler. Evidence: server_advisory lines at 6.05 s with the right limits, unchanged rates after them (docs/incidents). Change: RateLimiter (hosting/), a token bucket at the named rate and a bound on each 4 s that counts requests from just before the naming; admission, the order of starts, early refusals and the load told to peers go by the longer of the waits for slot, limit and link. Senders see the wait and pass the server over until it has passed (dispatch). The one daemon before a server is the only place that has to count, so nothing is split between daemons. An answer without a limit ends it, unless its request began before the limit was last named. Why it works: every request to a server passes its daemon's scheduler.

--- a/sim/fleet_model.cpp
+++ b/sim/fleet_model.cpp
@@ -186,6 +186,7 @@
             peer.linkedSince = m_now;
             peer.lastMessageAt = m_now;
             peer.load = m_nodes[i].scheduler->load(m_now);
+            peer.loadReportedAt = m_now;
             peer.version = m_nodes[i].replicator->version();
             performActions(index,
                            node.dispatcher->linkOpened(m_nodes[i].record.name, restarted, m_now));
@@ -247,6 +248,7 @@
                 return;
             peer->lastMessageAt = m_now;
             peer->load = load;
+            peer->loadReportedAt = m_now;
             peer->callsInFlightAtReport = peer->callsInFlight;
             peer->version = version;
             peer->storeAge = age;
--- a/sim/fleet_model_calls.cpp
+++ b/sim/fleet_model_calls.cpp
@@ -235,7 +235,7 @@
     outcome.processingTime = {150};
     if (state == RunState::Answered) {
         outcome.advisory = Result<ServerAdvisory>(host.server.advisory);
-        host.scheduler->handleAdvisory(id, host.server.advisory);
+        applyDecisions(index, host.scheduler->handleAdvisory(id, host.server.advisory, m_now));
     }
     const HostDecisions furtherDecisions = host.scheduler->complete(
         id, state == RunState::Answered ? HostFinish::Served : HostFinish::Broken, {150}, m_now);
--- a/src/dispatch/server_choice.cpp
+++ b/src/dispatch/server_choice.cpp
@@ -24,6 +24,7 @@
     unsigned runningOrQueued = 0; ///< Requests that the server runs or its daemon queues.
     bool otherDataCentre = false; ///< The server is in another data centre than this daemon.
     bool unresponsive = false;    ///< The hosting daemon is unresponsive.
+    double limitWaitMs = 0;       ///< Wait, in ms, for the limit that the server has named.
 };
 
 /**
@@ -39,6 +40,22 @@
     return std::max(reported + sentSince, peer.callsInFlight);
 }
 
+/**
+ * @return wait, in ms, for the limit of the peer's server: the last reported one, less the time
+ * since then, and that of the requests that this daemon has sent since then.
+ */
+double limitWaitAt(const Peer &peer, TimePoint now)
+{
+    if (peer.load.requestsPerSecond <= 0)
+        return 0;
+    const unsigned sentSince = peer.callsInFlight > peer.callsInFlightAtReport
+                                   ? peer.callsInFlight - peer.callsInFlightAtReport
+                                   : 0;
+    const auto ageMs = static_cast<double>((now - peer.loadReportedAt).ms);
+    return std::max(0.0, peer.load.limitWaitMs - ageMs
+                             + sentSince * MS_PER_SECOND / peer.load.requestsPerSecond);
+}
+
 /** @return bytes of large answers committed at the peer, counted like runningOrQueuedAt(). */
 std::uint64_t linkBytesAt(const Peer &peer)
 {
@@ -57,13 +74,13 @@
                && request.excluded.count(name) == 0;
     };
     if (isEligible(local, table.self().name))
-        servers.push_back(
-            {table.self().name, &local, 0, false, local.running + local.queued, false, false});
+        servers.push_back({table.self().name, &local, 0, false, local.running + local.queued, false,
+                           false, local.limitWaitMs});
     for (const auto &[name, peer] : table.peers()) {
         if (peer.linked && !peer.shuttingDown && isEligible(peer.load, name))
             servers.push_back({name, &peer.load, linkBytesAt(peer), true, runningOrQueuedAt(peer),
                                peer.record.dataCentre != table.self().dataCentre,
-                               !table.isResponsive(peer, now)});
+                               !table.isResponsive(peer, now), limitWaitAt(peer, now)});
     }
     return servers;
 }
@@ -123,7 +140,8 @@
                        * (1 + options.fullLoadSlowdown * std::min(1.0, occupancy))
                        * (load.cold ? options.coldSlowdownFactor : 1)
                        * (1 + options.workJitter * (2 * jitterStep / JITTER_STEPS - 1));
-    candidate.waitMs = occupancy > 1 ? serverMeanMs * (occupancy - 1) : 0;
+    const double slotWaitMs = occupancy > 1 ? serverMeanMs * (occupancy - 1) : 0;
+    candidate.waitMs = std::max(slotWaitMs, server.limitWaitMs);
     if (server.overLink && request.bulkBytes > 0 && load.linkBytesPerSecond > 0) {
         const double msPerByte = MS_PER_SECOND / static_cast<double>(load.linkBytesPerSecond);
         // The link carries earlier answers while this request waits for a slot and runs.
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -89,6 +89,26 @@
     CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "far");
 }
 
+// Guards against senders that count slots only: a server with free slots whose limit is used up
+// looked like the best one.
+TEST_CASE("a server whose limit is used up is passed over until its wait is over", "[dispatch]")
+{
+    Fixture fixture;
+    fixture.addPeer("limited", "east", 0, 60);
+    fixture.addPeer("slow", "east", 0, 150);
+    Peer &limited = *fixture.table.find(ServerId("limited"));
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "limited");
+    limited.load.requestsPerSecond = 2;
+    limited.load.limitWaitMs = 400;
+    limited.loadReportedAt = NOW;
+    limited.callsInFlight = limited.callsInFlightAtReport = 0;
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "slow");
+    limited.loadReportedAt = NOW - Duration{400};
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "limited");
+    // The request just sent takes the next place of the limit.
+    CHECK(only<SendOffer>(fixture.begin()).daemon.text() == "slow");
+}
+
 TEST_CASE("large answers go where the link is free, small ones to the fast server", "[dispatch]")
 {
     Fixture fixture;
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -39,6 +39,7 @@
     /** Bytes of large answers that wait for the link, or are expected of calls accepted so far. */
     std::uint64_t linkBytesCommitted = 0;
     double requestsPerSecond = 0; ///< Limit that the server has named; 0: none.
+    double limitWaitMs = 0;       ///< Time, in ms, until that limit admits one more request.
 };
 
 /** Announcement of a daemon: its identity and where it accepts links. */
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -16,6 +16,7 @@
     TimePoint linkedSince{0};            ///< Time at which the link opened.
     TimePoint lastMessageAt{0};          ///< Time of the last message from the peer.
     HostLoad load;                       ///< Last reported load of the peer's local server.
+    TimePoint loadReportedAt{0};         ///< When it was reported.
     unsigned callsInFlight = 0;          ///< Calls sent to the peer that have not ended yet.
     unsigned callsInFlightAtReport = 0;  ///< Value of callsInFlight when load was last reported.
     std::uint64_t bulkBytesInFlight = 0; ///< Expected sizes of the large answers of these calls.
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -63,6 +63,7 @@
         m_processingMsByRoute.clear();
         m_meanProcessingMs = 0;
         m_advisory = {};
+        m_rateLimiter.reset();
     }
     m_server = report;
     m_coldUntil = now + report.warmUpLeft;
@@ -165,12 +166,13 @@
 {
     const auto behind = m_queue.lower_bound(QueueKey{rank + 1, 0});
     const auto ahead = static_cast<std::size_t>(std::distance(m_queue.begin(), behind));
+    const Duration limitWait = m_rateLimiter.waitFor(ahead + 1, now);
     const std::size_t busy = m_running.size() + ahead + 1;
     if (busy <= m_server.slots || m_server.slots == 0)
-        return {0};
-    const double waitMs
+        return limitWait;
+    const double slotWaitMs
         = static_cast<double>(busy - m_server.slots) * meanProcessingMs(now) / m_server.slots;
-    return {static_cast<std::int64_t>(waitMs)};
+    return std::max(limitWait, Duration{static_cast<std::int64_t>(slotWaitMs)});
 }
 
 /** @return expected size of the call's answer when it is large and leaves over the link, else 0. */
@@ -195,7 +197,7 @@
     return m_bulkBytesExpected + (m_link == nullptr ? 0 : m_link->backlogBytes());
 }
 
-/** @return expected wait for a slot, or for the link when that one is longer. */
+/** @return expected wait for a slot and the limit, or for the link when that one is longer. */
 Duration HostScheduler::expectedDelay(const HostCall &call, TimePoint now) const
 {
     const Duration slotWait = expectedWait(call.rank, now);
@@ -269,7 +271,8 @@
 HostDecisions HostScheduler::startQueued(TimePoint now)
 {
     HostDecisions decisions;
-    while (m_state == HostState::Ready && !m_queue.empty() && m_running.size() < m_server.slots) {
+    while (m_state == HostState::Ready && !m_queue.empty() && m_running.size() < m_server.slots
+           && m_rateLimiter.mayStart(now)) {
         const auto first = nextQueued(now);
         HostCall call = std::move(first->second);
         m_queue.erase(first);
@@ -281,6 +284,7 @@
             continue;
         }
         decisions.push_back({call.id, HostVerdict::Start, HostReason::None, {0}});
+        m_rateLimiter.recordStart(now);
         call.started = now;
         call.instance = m_server.instance;
         call.serverStartTimeMs = m_server.startTimeMs;
@@ -290,13 +294,25 @@
     return decisions;
 }
 
-void HostScheduler::handleAdvisory(HostCallId id, const ServerAdvisory &advisory)
+HostDecisions HostScheduler::handleAdvisory(HostCallId id, const ServerAdvisory &advisory,
+                                            TimePoint now)
 {
     const auto found = m_running.find(id);
     if (found == m_running.end() || found->second.instance != m_server.instance
         || found->second.serverStartTimeMs != m_server.startTimeMs)
-        return;
-    m_advisory = advisory;
+        return {};
+    // An answer without a limit may have overtaken the one that named it.
+    if (advisory.requestsPerSecond || found->second.started >= m_limitNamedAt)
+        setLimit(advisory.requestsPerSecond, now);
+    return startQueued(now);
+}
+
+void HostScheduler::setLimit(std::optional<double> requestsPerSecond, TimePoint now)
+{
+    m_advisory.requestsPerSecond = requestsPerSecond;
+    m_rateLimiter.setLimit(requestsPerSecond, now);
+    if (requestsPerSecond)
+        m_limitNamedAt = now;
 }
 
 HostDecisions HostScheduler::complete(HostCallId id, HostFinish finish, Duration processingTime,
@@ -336,29 +352,44 @@
     return true;
 }
 
+/**
+ * @param call A queued call.
+ * @param position Its place in the order of starts; the next one has 1.
+ * @param now Time.
+ * @return why it is refused now rather than later; None to keep it.
+ */
+HostReason HostScheduler::checkQueued(const HostCall &call, std::size_t position,
+                                      TimePoint now) const
+{
+    const double processingMs = expectedProcessingMs(call.route);
+    const Duration minTime{static_cast<std::int64_t>(processingMs * PROCESSING_SHARE_MIN)};
+    if (now + minTime > call.deadline)
+        return HostReason::TooLate;
+    // An early refusal leaves the caller time to retry.
+    const Duration limitWait = m_rateLimiter.waitFor(position, now);
+    const bool congested = limitWait.ms > 0 || m_queue.size() * 2 > m_server.slots;
+    const Duration processing{static_cast<std::int64_t>(processingMs)};
+    return congested && now + limitWait + processing > call.softDeadline ? HostReason::Full
+                                                                         : HostReason::None;
+}
+
 HostDecisions HostScheduler::tick(TimePoint now)
 {
     HostDecisions decisions;
+    std::size_t position = 1;
     for (auto item = m_queue.begin(); item != m_queue.end();) {
-        const HostCall &call = item->second;
-        const Duration processing{static_cast<std::int64_t>(expectedProcessingMs(call.route))};
-        // An early refusal leaves the caller time to retry.
-        if (now + processing > call.softDeadline && m_queue.size() * 2 > m_server.slots) {
-            decisions.push_back(makeRefusal(call.id, HostReason::Full, {0}));
-            m_bulkBytesExpected -= call.bulkBytes;
-            item = m_queue.erase(item);
-            continue;
-        }
-        const Duration minTime{static_cast<std::int64_t>(expectedProcessingMs(item->second.route)
-                                                         * PROCESSING_SHARE_MIN)};
-        if (now + minTime <= item->second.deadline) {
+        const HostReason reason = checkQueued(item->second, position, now);
+        if (reason == HostReason::None) {
             ++item;
+            ++position;
             continue;
         }
-        decisions.push_back(makeRefusal(item->second.id, HostReason::TooLate, {0}));
+        decisions.push_back(makeRefusal(item->second.id, reason, {0}));
         m_bulkBytesExpected -= item->second.bulkBytes;
         item = m_queue.erase(item);
     }
+    const HostDecisions started = startQueued(now);
+    decisions.insert(decisions.end(), started.begin(), started.end());
     return decisions;
 }
 
@@ -378,7 +409,8 @@
     if (m_link != nullptr)
         load.linkBytesPerSecond = static_cast<std::uint64_t>(m_link->flowBytesPerSecond());
     load.linkBytesCommitted = linkBytesCommitted();
-    load.requestsPerSecond = m_advisory.requestsPerSecond.value_or(0);
+    load.requestsPerSecond = m_rateLimiter.perSecond();
+    load.limitWaitMs = static_cast<double>(m_rateLimiter.waitFor(m_queue.size() + 1, now).ms);
     return load;
 }
 
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -3,6 +3,7 @@
 
 #include "bandwidth/output_scheduler.h"
 #include "hosting/hosting_type.h"
+#include "hosting/rate_limiter.h"
 
 #include <map>
 #include <set>
@@ -17,6 +18,7 @@
     double initialProcessingMs = 200;  ///< Processing time, in ms, assumed until one was measured.
     Duration retryAfterMin = {60};     ///< Shortest wait that a refusal advises.
     Duration lateRetryWaitMax = {150}; ///< Longest wait of a retry that misses its soft deadline.
+    RateLimiterOptions rateLimit;      ///< How strictly a limit that the server names is followed.
 };
 
 /**
@@ -34,7 +36,7 @@
      *     the link is not considered.
      */
     explicit HostScheduler(HostSchedulerOptions options, const OutputScheduler *link = nullptr)
-        : m_options(options), m_link(link)
+        : m_options(options), m_link(link), m_rateLimiter(options.rateLimit)
     {}
 
     /**
@@ -79,13 +81,15 @@
      * @param id The call; the advisory is ignored when another server has registered since it
      *     started.
      * @param advisory The advisory.
+     * @param now Time.
+     * @return decisions about queued calls.
      */
-    void handleAdvisory(HostCallId id, const ServerAdvisory &advisory);
+    HostDecisions handleAdvisory(HostCallId id, const ServerAdvisory &advisory, TimePoint now);
     /** Removes a call from the queue. @return false when the call was not queued. */
     bool cancelQueued(HostCallId id);
     /**
-     * Refuses queued calls that would miss their deadline or, in a long queue, their soft deadline.
-     * Must be called periodically.
+     * Refuses queued calls that would miss their deadline or, in a long queue, their soft deadline,
+     * and starts those that the server's limit held. Must be called periodically.
      */
     HostDecisions tick(TimePoint now);
 
@@ -93,8 +97,13 @@
     HostLoad load(TimePoint now) const;
     /** @return the registered server's identity; empty when none is registered. */
     const std::string &instance() const { return m_server.instance; }
-    /** @return the latest advisory of the registered server. */
+    /** @return the advisory of the registered server that is in force. */
     const ServerAdvisory &advisory() const { return m_advisory; }
+    /** @return time until the server's limit lets the next queued call start; 0: no limit does. */
+    Duration nextStartDelay(TimePoint now) const
+    {
+        return m_queue.empty() ? Duration{0} : m_rateLimiter.waitFor(1, now);
+    }
     /** @return the registered server's address. */
     const Endpoint &address() const { return m_server.address; }
     /** @return number of queued calls. */
@@ -126,12 +135,16 @@
     double meanProcessingMs(TimePoint now) const;
     std::map<QueueKey, HostCall>::iterator nextQueued(TimePoint now);
     HostReason checkAdmission(HostCall &call, TimePoint now) const;
+    HostReason checkQueued(const HostCall &call, std::size_t position, TimePoint now) const;
+    void setLimit(std::optional<double> requestsPerSecond, TimePoint now);
     HostDecision makeRefusal(HostCallId id, HostReason reason, Duration wait) const;
 
     const HostSchedulerOptions m_options;
     const OutputScheduler *m_link = nullptr;
-    ServerReport m_server;     ///< Latest report of the registered server.
-    ServerAdvisory m_advisory; ///< Latest advisory of the registered server.
+    ServerReport m_server;       ///< Latest report of the registered server.
+    ServerAdvisory m_advisory;   ///< Advisory of the registered server that is in force.
+    TimePoint m_limitNamedAt{0}; ///< When an answer last named the limit.
+    RateLimiter m_rateLimiter;
     HostState m_state = HostState::None;
     bool m_shuttingDown = false; ///< The daemon shuts down.
     TimePoint m_coldUntil{0};    ///< The server is slow after its start until then.
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -372,11 +372,11 @@
     scheduler.handleReport(makeReport("a", 10, 1), NOW);
     scheduler.submit(makeCall(1), NOW);
     scheduler.submit(makeCall(2), NOW);
-    scheduler.handleAdvisory(1, {5.0, false});
+    scheduler.handleAdvisory(1, {5.0, false}, NOW);
     CHECK(scheduler.load(NOW).requestsPerSecond == 5.0);
     scheduler.handleReport(makeReport("a", 20, 1), NOW);
     CHECK(scheduler.load(NOW).requestsPerSecond == 0);
-    scheduler.handleAdvisory(2, {5.0, false});
+    scheduler.handleAdvisory(2, {5.0, false}, NOW);
     CHECK(scheduler.load(NOW).requestsPerSecond == 0);
 }
 
@@ -407,7 +407,7 @@
             while (!m_running.empty() && m_running.begin()->first <= m_now.ms) {
                 const HostCallId id = m_running.begin()->second;
                 m_running.erase(m_running.begin());
-                m_scheduler.handleAdvisory(id, advisory);
+                apply(m_scheduler.handleAdvisory(id, advisory, m_now));
                 apply(m_scheduler.complete(id, HostFinish::Served, {60}, m_now));
             }
             if (m_now.ms % 20 == 0)
@@ -477,7 +477,7 @@
 
 // Guards against admission by slots alone: a server with free slots that has named a limit got
 // everything its callers sent.
-TEST_CASE("a server gets no more requests than the limit that it has named", "[hosting][known-red]")
+TEST_CASE("a server gets no more requests than the limit that it has named", "[hosting]")
 {
     for (const double limit : {0.0, 0.3, 1.5, 4.3, 12.0, 26.6}) {
         INFO("limit " << limit);
@@ -490,6 +490,59 @@
     }
 }
 
+// Guards against the other extreme: a limit that is not used up, calls held in vain until their
+// deadline, and a limit that outlasts the server's word.
+TEST_CASE("a limit is used up, what it cannot admit is refused early, and its end counts at once",
+          "[hosting]")
+{
+    for (const double limit : {1.5, 4.3, 12.0, 26.6}) {
+        INFO("limit " << limit);
+        LimitedServerRun run;
+        run.run(seconds(5), 20, {});
+        const TimePoint named = run.now();
+        run.run(seconds(24), 10, {limit, false});
+        const auto used
+            = static_cast<double>(run.startsBetween(named + seconds(4), named + seconds(24)));
+        CHECK(used >= 0.9 * limit * 20);
+        CHECK(run.longestWaitToRefusal <= Duration{500});
+        const TimePoint ended = run.now();
+        run.run(seconds(6), 20, {});
+        CHECK(run.startsBetween(ended + seconds(2), ended + seconds(6)) >= 190);
+        CHECK(run.scheduler().load(run.now()).requestsPerSecond == 0);
+    }
+}
+
+TEST_CASE("an answer without a limit that overtook one with a limit does not end it", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleReport(makeReport("a", 10, 1), NOW);
+    scheduler.submit(makeCall(1), NOW);
+    scheduler.submit(makeCall(2), NOW);
+    scheduler.handleAdvisory(1, {5.0, false}, NOW + Duration{50});
+    scheduler.complete(1, HostFinish::Served, {50}, NOW + Duration{50});
+    scheduler.handleAdvisory(2, {}, NOW + Duration{51});
+    CHECK(scheduler.load(NOW + Duration{51}).requestsPerSecond == 5.0);
+}
+
+// Guards against a burst of requests sent just before the limit was named: they count too.
+TEST_CASE("requests from just before a limit was named count in its first windows", "[hosting]")
+{
+    RateLimiter limiter{RateLimiterOptions()};
+    for (std::int64_t ms = 0; ms < 1000; ms += 10)
+        limiter.recordStart(NOW + Duration{ms});
+    const TimePoint named = NOW + Duration{1000};
+    limiter.setLimit(10.0, named);
+    // 100 starts exceed what 4 s allow, so that none may follow until they are 4 s old.
+    CHECK_FALSE(limiter.mayStart(named + Duration{2900}));
+    CHECK(limiter.mayStart(named + Duration{4000}));
+    RateLimiter calm{RateLimiterOptions()};
+    calm.recordStart(NOW);
+    calm.setLimit(10.0, named);
+    CHECK(calm.waitFor(1, named) == Duration{100});
+    CHECK(calm.waitFor(3, named) == Duration{300});
+    CHECK(calm.mayStart(named + Duration{100}));
+}
+
 // Guards against trust in late reports: a server that leaves and says so in its answers was taken
 // back by a report that still called it ready.
 TEST_CASE("a server whose answer says that it leaves gets no later calls", "[hosting][known-red]")
@@ -497,7 +550,7 @@
     HostScheduler scheduler{HostSchedulerOptions()};
     scheduler.handleReport(makeReport("a", 10, 1), NOW);
     scheduler.submit(makeCall(1), NOW);
-    scheduler.handleAdvisory(1, {std::nullopt, true});
+    scheduler.handleAdvisory(1, {std::nullopt, true}, NOW);
     scheduler.complete(1, HostFinish::Served, {50}, NOW);
     CHECK(refuses(scheduler.submit(makeCall(2), NOW), 2, HostReason::ServerDraining));
     for (std::uint64_t sequence = 2; sequence < 30; sequence++) {
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -81,7 +81,8 @@
     return headers;
 }
 
-/** Encodes workMs in tenths of a millisecond and failureRate in thousandths, as integers. */
+/** Encodes workMs in tenths of a millisecond, and failureRate and requestsPerSecond in thousandths,
+ * as integers. */
 Json toJson(const HostLoad &load)
 {
     return {load.instance,
@@ -94,7 +95,9 @@
             static_cast<int>(load.failureRate * 1000),
             load.cold,
             load.linkBytesPerSecond,
-            load.linkBytesCommitted};
+            load.linkBytesCommitted,
+            static_cast<std::int64_t>(load.requestsPerSecond * 1000),
+            static_cast<std::int64_t>(load.limitWaitMs)};
 }
 
 HostLoad loadFromJson(const Json &list)
@@ -112,6 +115,8 @@
     load.cold = list.at(8).get<bool>();
     load.linkBytesPerSecond = optionalAt(list, 9, std::uint64_t{0});
     load.linkBytesCommitted = optionalAt(list, 10, std::uint64_t{0});
+    load.requestsPerSecond = optionalAt(list, 11, 0.0) / 1000;
+    load.limitWaitMs = optionalAt(list, 12, 0.0);
     return load;
 }
 
--- a/src/link/tests/link_test.cpp
+++ b/src/link/tests/link_test.cpp
@@ -46,6 +46,8 @@
     result.outcome.response.body = "body";
     result.load.slots = 9;
     result.load.state = HostState::Ready;
+    result.load.requestsPerSecond = 12.5;
+    result.load.limitWaitMs = 80;
     LinkDaemonState state;
     state.deregisteredInstance = "i-9";
     state.watchingStore = true;
@@ -72,6 +74,8 @@
         CHECK(call.queueWaitMax.ms == 31);
         CHECK(std::get<LinkResult>(messages[1]).outcome.response.body == "body");
         CHECK(std::get<LinkResult>(messages[1]).outcome.processingTime.ms == 44);
+        CHECK(std::get<LinkResult>(messages[1]).load.requestsPerSecond == 12.5);
+        CHECK(std::get<LinkResult>(messages[1]).load.limitWaitMs == 80);
         CHECK(std::get<LinkCancel>(messages[2]).onlyIfQueued);
         CHECK(std::get<LinkDaemonState>(messages[3]).deregisteredInstance == "i-9");
         CHECK(std::get<LinkDaemonState>(messages[3]).watchingStore);
@@ -131,9 +135,9 @@
         for (std::size_t i = 0; i < added; i++)
             list.erase(list.size() - 1);
         for (auto &item : list) {
-            // The load of the server, with its two figures of the link.
-            if (item.is_array() && item.size() == 11)
-                item.erase(item.size() - 1), item.erase(item.size() - 1);
+            // The load of the server, with two figures of the link and two of the limit.
+            while (item.is_array() && item.size() > 9)
+                item.erase(item.size() - 1);
         }
         std::string old;
         nlohmann::json::to_cbor(list, old);
@@ -150,6 +154,7 @@
     CHECK(std::get<LinkResult>(read.value()).bodyBytesToFollow == 0);
     CHECK(std::get<LinkResult>(read.value()).outcome.response.body == "whole");
     CHECK(std::get<LinkResult>(read.value()).load.linkBytesPerSecond == 0);
+    CHECK(std::get<LinkResult>(read.value()).load.requestsPerSecond == 0);
     const auto state = decodeLinkMessage(withoutLast(LinkDaemonState(), 1));
     REQUIRE(state);
     CHECK(std::get<LinkDaemonState>(state.value()).storeEra == 0);
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -123,12 +123,20 @@
     startQueueTimer();
 }
 
-/** Checks the queue until it is empty. */
+/** Checks the queue until it is empty, and as soon as the server's limit admits a call. */
 void HostCallExecutor::startQueueTimer()
 {
-    if (m_queueTimer != 0 || m_scheduler.queued() == 0)
+    if (m_scheduler.queued() == 0)
         return;
-    m_queueTimer = m_loop.after(QUEUE_CHECK_INTERVAL, [this] {
+    const TimePoint now = m_loop.now();
+    const Duration limitDelay = m_scheduler.nextStartDelay(now);
+    const Duration delay
+        = limitDelay.ms > 0 ? std::min(limitDelay, QUEUE_CHECK_INTERVAL) : QUEUE_CHECK_INTERVAL;
+    if (m_queueTimer != 0 && m_queueTimerAt <= now + delay)
+        return;
+    m_loop.cancel(m_queueTimer);
+    m_queueTimerAt = now + delay;
+    m_queueTimer = m_loop.after(delay, [this] {
         m_queueTimer = 0;
         execute(m_scheduler.tick(m_loop.now()));
         startQueueTimer();
@@ -226,17 +234,18 @@
         return;
     }
     const ServerAdvisory before = m_scheduler.advisory();
-    m_scheduler.handleAdvisory(id, advisory.value());
-    const ServerAdvisory &after = m_scheduler.advisory();
-    if (before.requestsPerSecond == after.requestsPerSecond && before.leaving == after.leaving)
-        return;
-    m_log.logStateChange("server_advisory", [&](LogFields &fields) {
-        fields.add("instance", m_scheduler.instance());
-        fields.add("limit_per_s", after.requestsPerSecond.value_or(0));
-        fields.add("limit_before", before.requestsPerSecond.value_or(0));
-        fields.add("leaving", std::int64_t{after.leaving ? 1 : 0});
-        fields.add("request", m_calls.at(id).call.requestId);
-    });
+    const HostDecisions decisions = m_scheduler.handleAdvisory(id, advisory.value(), m_loop.now());
+    const ServerAdvisory after = m_scheduler.advisory();
+    if (before.requestsPerSecond != after.requestsPerSecond || before.leaving != after.leaving) {
+        m_log.logStateChange("server_advisory", [&](LogFields &fields) {
+            fields.add("instance", m_scheduler.instance());
+            fields.add("limit_per_s", after.requestsPerSecond.value_or(0));
+            fields.add("limit_before", before.requestsPerSecond.value_or(0));
+            fields.add("leaving", std::int64_t{after.leaving ? 1 : 0});
+            fields.add("request", m_calls.at(id).call.requestId);
+        });
+    }
+    execute(decisions);
 }
 
 void HostCallExecutor::probeServer()
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -132,6 +132,7 @@
     HostCallId m_lastCallId = 0;
     TimePoint m_nextProbeAt{0};
     TimerId m_queueTimer = 0;
+    TimePoint m_queueTimerAt{0}; ///< When m_queueTimer fires.
 };
 
 } // namespace cornelwell
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -138,6 +138,7 @@
     if (peer == nullptr)
         return;
     peer->load = state.load;
+    peer->loadReportedAt = now;
     if (state.load.state == HostState::Draining)
         peer->deregisteredInstance = state.load.instance;
     else if (state.load.instance == peer->deregisteredInstance)
@@ -171,6 +172,7 @@
     const TimePoint now = m_loop.now();
     if (Peer *peer = m_peers.find(name)) {
         peer->load = result.load;
+        peer->loadReportedAt = now;
         peer->callsInFlightAtReport = peer->callsInFlight > 0 ? peer->callsInFlight - 1 : 0;
         const std::uint64_t ended = m_dispatcher.bulkBytesOf(result.offer);
         peer->bulkBytesInFlightAtReport
