Fix: hosting: a server whose answer says that it leaves gets no further requests

A server may leave and say so only in its answers, while its reports are late and still call it ready; requests went on to it beyond drain-ms. Change: such an answer deregisters the server like its own word on the reports' path: queued calls go back as not run and are placed elsewhere, peers are told at once; no later report of the same start makes it ready again (before, a report with a higher sequence number did once the deregistration was 20 s old).

--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -51,6 +51,10 @@
         return true;
     if (report.startTimeMs != m_server.startTimeMs)
         return report.startTimeMs > m_server.startTimeMs;
+    // A server that leaves does not come back without a restart, whatever a late report says.
+    if (m_state == HostState::Draining && !report.draining && report.startTimeMs != 0
+        && report.instance == m_server.instance)
+        return false;
     return report.instance != m_server.instance || report.sequence > m_server.sequence;
 }
 
@@ -304,6 +308,10 @@
     // An answer without a limit may have overtaken the one that named it.
     if (advisory.requestsPerSecond || found->second.started >= m_limitNamedAt)
         setLimit(advisory.requestsPerSecond, now);
+    if (advisory.leaving) {
+        m_advisory.leaving = true;
+        return handleDeregistration(m_server.instance, m_server.startTimeMs, now);
+    }
     return startQueued(now);
 }
 
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -545,7 +545,7 @@
 
 // Guards against trust in late reports: a server that leaves and says so in its answers was taken
 // back by a report that still called it ready.
-TEST_CASE("a server whose answer says that it leaves gets no later calls", "[hosting][known-red]")
+TEST_CASE("a server whose answer says that it leaves gets no later calls", "[hosting]")
 {
     HostScheduler scheduler{HostSchedulerOptions()};
     scheduler.handleReport(makeReport("a", 10, 1), NOW);
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -87,17 +87,23 @@
     const HostState before = load().state;
     const HostDecisions decisions
         = m_scheduler.handleDeregistration(report.instance, report.startTimeMs, m_loop.now());
-    if (load().state != before) {
-        m_log.logStateChange("server", [&](LogFields &fields) {
-            fields.add("instance", report.instance);
-            fields.add("state", "gone");
-            fields.add("before", hostStateName(before));
-        });
-        m_listener.serverStateChanged();
-    }
+    announceLeaving(before);
     execute(decisions);
 }
 
+/** Logs that the server leaves, and tells the peers, unless its state is still @p before. */
+void HostCallExecutor::announceLeaving(HostState before)
+{
+    if (load().state == before)
+        return;
+    m_log.logStateChange("server", [&](LogFields &fields) {
+        fields.add("instance", m_scheduler.instance());
+        fields.add("state", "gone");
+        fields.add("before", hostStateName(before));
+    });
+    m_listener.serverStateChanged();
+}
+
 void HostCallExecutor::beginShutdown()
 {
     execute(m_scheduler.beginShutdown(m_loop.now()));
@@ -234,6 +240,7 @@
         return;
     }
     const ServerAdvisory before = m_scheduler.advisory();
+    const HostState stateBefore = load().state;
     const HostDecisions decisions = m_scheduler.handleAdvisory(id, advisory.value(), m_loop.now());
     const ServerAdvisory after = m_scheduler.advisory();
     if (before.requestsPerSecond != after.requestsPerSecond || before.leaving != after.leaving) {
@@ -245,6 +252,7 @@
             fields.add("request", m_calls.at(id).call.requestId);
         });
     }
+    announceLeaving(stateBefore);
     execute(decisions);
 }
 
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -101,6 +101,7 @@
         TimePoint until{0};
     };
 
+    void announceLeaving(HostState before);
     void execute(const HostDecisions &decisions);
     void start(HostCallId id);
     void handleResult(HostCallId id, const ServerResult &result);
