Fix: fleet, hosting: what a server has announced outlives a restart of its daemon

Cause and class: state learnt from a server was kept in one process. The one such state that peers kept, the instance that left, was forgotten when the restarted daemon believed a late report, and had no start time, so that a server that starts again under its id was refused for 20 s. Change: ServerRestrictions (instance, start, leaving, limit, time until the limit admits the next request) replaces deregisteredInstance. Peers derive them from each load, keep them through the peer's restart, and tell them in the hello, so before the first call on a link, and in the answer to a hello. The host follows them until the server's own answers say more. A known start that left never comes back; the oldest deregistration is dropped at the bound, not the alphabetically first. Earlier builds read the same messages (elements appended). Why it works: whoever knows a limit because it passed an answer on has a link, and so tells it before it sends.

--- a/sim/fleet_model.cpp
+++ b/sim/fleet_model.cpp
@@ -185,8 +185,12 @@
             peer.linked = true;
             peer.linkedSince = m_now;
             peer.lastMessageAt = m_now;
-            peer.load = m_nodes[i].scheduler->load(m_now);
-            peer.loadReportedAt = m_now;
+            applyDecisions(
+                i, m_nodes[i].scheduler->handleRestrictions(peer.restrictionsAt(m_now), m_now));
+            peer.recordLoad(m_nodes[i].scheduler->load(m_now), m_now);
+            if (const Peer *self = m_nodes[i].table->find(node.record.name))
+                applyDecisions(
+                    index, node.scheduler->handleRestrictions(self->restrictionsAt(m_now), m_now));
             peer.version = m_nodes[i].replicator->version();
             performActions(index,
                            node.dispatcher->linkOpened(m_nodes[i].record.name, restarted, m_now));
@@ -247,8 +251,7 @@
             if (peer == nullptr)
                 return;
             peer->lastMessageAt = m_now;
-            peer->load = load;
-            peer->loadReportedAt = m_now;
+            peer->recordLoad(load, m_now);
             peer->callsInFlightAtReport = peer->callsInFlight;
             peer->version = version;
             peer->storeAge = age;
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -26,6 +26,7 @@
 struct HostLoad
 {
     std::string instance;              ///< Identity of the server's incarnation.
+    std::int64_t startTimeMs = 0;      ///< Start of the server in ms of Unix time; 0: unknown.
     ServiceName service;               ///< Service that the server runs.
     HostState state = HostState::None; ///< State of the server.
     unsigned slots = 0;                ///< Requests that the server runs concurrently.
@@ -42,6 +43,19 @@
     double limitWaitMs = 0;       ///< Time, in ms, until that limit admits one more request.
 };
 
+/**
+ * What a server has said of itself that binds its daemon also after a restart of the daemon. Peers
+ * keep it and tell the daemon when they link to it.
+ */
+struct ServerRestrictions
+{
+    std::string instance;         ///< Identity of the server's incarnation; empty: nothing known.
+    std::int64_t startTimeMs = 0; ///< Start of the server in ms of Unix time; 0: unknown.
+    bool leaving = false;         ///< The server drains or has deregistered.
+    double requestsPerSecond = 0; ///< Limit that the server has named; 0: none.
+    Duration limitWait;           ///< Time until the limit admits the next request.
+};
+
 /** Announcement of a daemon: its identity and where it accepts links. */
 struct DaemonRecord
 {
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -7,6 +7,44 @@
 
 namespace cornelwell {
 
+namespace {
+
+constexpr double MS_PER_SECOND = 1000;
+
+} // namespace
+
+void Peer::recordLoad(const HostLoad &reported, TimePoint now)
+{
+    load = reported;
+    loadReportedAt = now;
+    if (reported.instance.empty())
+        return;
+    const bool sameServer = reported.instance == restrictions.instance
+                            && reported.startTimeMs == restrictions.startTimeMs
+                            && reported.startTimeMs != 0;
+    if (sameServer && restrictions.leaving && reported.state == HostState::Ready)
+        load.state = HostState::Draining;
+    restrictions = {reported.instance,
+                    reported.startTimeMs,
+                    load.state == HostState::Draining,
+                    reported.requestsPerSecond,
+                    {0}};
+    if (reported.requestsPerSecond <= 0)
+        return;
+    // The queue ends with the daemon; a restarted one waits for the requests that have started.
+    const double queueMs = reported.queued * MS_PER_SECOND / reported.requestsPerSecond;
+    restrictions.limitWait
+        = {static_cast<std::int64_t>(std::max(0.0, reported.limitWaitMs - queueMs))};
+}
+
+ServerRestrictions Peer::restrictionsAt(TimePoint now) const
+{
+    ServerRestrictions current = restrictions;
+    current.limitWait
+        = {std::max<std::int64_t>(0, (loadReportedAt + restrictions.limitWait - now).ms)};
+    return current;
+}
+
 Peer *PeerTable::find(const ServerId &name)
 {
     const auto found = m_peers.find(name);
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -11,6 +11,14 @@
 /** Cached state of one other daemon. */
 struct Peer
 {
+    /**
+     * Takes over a reported load. A server that was known to leave stays so: a restarted daemon may
+     * have believed a late report.
+     */
+    void recordLoad(const HostLoad &reported, TimePoint now);
+    /** @return the restrictions of the peer's server as of @p now. */
+    ServerRestrictions restrictionsAt(TimePoint now) const;
+
     DaemonRecord record;                 ///< Latest announcement.
     bool linked = false;                 ///< The link to the peer is open.
     TimePoint linkedSince{0};            ///< Time at which the link opened.
@@ -25,12 +33,7 @@
     Duration storeAge;          ///< Last reported time since its last contact with the store.
     bool watchingStore = false; ///< The peer watches the platform's store and pushes new versions.
     bool shuttingDown = false;  ///< The peer's daemon is about to stop.
-    /**
-     * Instance of the peer's local server that was last reported as draining. After a restart of
-     * the peer's daemon this daemon sends it back, so that a late report cannot register that
-     * instance again.
-     */
-    std::string deregisteredInstance;
+    ServerRestrictions restrictions; ///< Of the peer's local server, as its loads have shown.
 };
 
 /**
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -147,3 +147,41 @@
     CHECK(
         std::get<ListDaemons>(discovery.handleAnnounceAnswer(written(), NOW).at(0)).after.empty());
 }
+
+// Guards against peers that forget: a restarted daemon without memory overwrote what they knew.
+TEST_CASE("a peer remembers what a server announced until the server itself takes it back",
+          "[fleet]")
+{
+    Peer peer;
+    HostLoad load;
+    load.instance = "i";
+    load.startTimeMs = 9;
+    load.state = HostState::Ready;
+    load.requestsPerSecond = 4.5;
+    peer.recordLoad(load, NOW);
+    CHECK(peer.restrictions.requestsPerSecond == 4.5);
+    // Of 2 s for the next request 1 s is that of the queue.
+    load.requestsPerSecond = 2;
+    load.limitWaitMs = 2000;
+    load.queued = 2;
+    peer.recordLoad(load, NOW);
+    CHECK(peer.restrictionsAt(NOW + Duration{400}).limitWait.ms == 600);
+    CHECK(peer.restrictionsAt(NOW + seconds(3)).limitWait.ms == 0);
+    load.requestsPerSecond = 4.5;
+    peer.recordLoad(load, NOW);
+    peer.recordLoad(HostLoad(), NOW);
+    CHECK(peer.restrictions.requestsPerSecond == 4.5);
+    load.requestsPerSecond = 0;
+    peer.recordLoad(load, NOW);
+    CHECK(peer.restrictions.requestsPerSecond == 0);
+    load.state = HostState::Draining;
+    peer.recordLoad(load, NOW);
+    load.state = HostState::Ready;
+    peer.recordLoad(load, NOW);
+    CHECK(peer.load.state == HostState::Draining);
+    CHECK(peer.restrictions.leaving);
+    load.startTimeMs = 10;
+    peer.recordLoad(load, NOW);
+    CHECK(peer.load.state == HostState::Ready);
+    CHECK_FALSE(peer.restrictions.leaving);
+}
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -16,8 +16,9 @@
 constexpr std::size_t AGE_SAMPLES_MIN = 4; ///< With fewer running calls their mean age is not used.
 /** A call is refused when less than this share of its processing time is left to its deadline. */
 constexpr double PROCESSING_SHARE_MIN = 0.4;
-constexpr std::size_t ROUTES_MAX = 1024;        ///< Routes with a processing time; bounds memory.
-constexpr Duration DEREGISTRATION_KEPT{20000};  ///< Delayed reports are ignored for this long.
+constexpr std::size_t ROUTES_MAX = 1024; ///< Routes with a processing time; bounds memory.
+/** Delayed reports of a server whose start is not known are ignored for this long. */
+constexpr Duration DEREGISTRATION_KEPT{20000};
 constexpr std::size_t DEREGISTRATIONS_MAX = 64; ///< Deregistrations kept; bounds memory.
 
 constexpr const char *REASON_NAMES[] = {"none",           "full",          "busier",
@@ -41,11 +42,21 @@
     return REASON_NAMES[static_cast<std::size_t>(reason)];
 }
 
+bool HostScheduler::isDeregistered(const std::string &instance, std::int64_t startTimeMs,
+                                   TimePoint now) const
+{
+    const auto known = m_deregistrations.find(instance);
+    if (known == m_deregistrations.end())
+        return false;
+    // A start that is known never comes back; without one, the next start cannot be told from it.
+    const Deregistration &deregistration = known->second;
+    return deregistration.startTimeMs == 0 ? now - deregistration.recordedAt < DEREGISTRATION_KEPT
+                                           : startTimeMs <= deregistration.startTimeMs;
+}
+
 bool HostScheduler::isCurrent(const ServerReport &report, TimePoint now) const
 {
-    const auto known = m_deregistrations.find(report.instance);
-    if (known != m_deregistrations.end() && now < known->second.until
-        && (known->second.startTimeMs == 0 || report.startTimeMs <= known->second.startTimeMs))
+    if (isDeregistered(report.instance, report.startTimeMs, now))
         return false;
     if (m_server.instance.empty())
         return true;
@@ -58,20 +69,70 @@
     return report.instance != m_server.instance || report.sequence > m_server.sequence;
 }
 
+/** Forgets what was learnt of the registered server, for another one. */
+void HostScheduler::resetServer()
+{
+    m_failureRate = 0;
+    m_processingMsByRoute.clear();
+    m_meanProcessingMs = 0;
+    m_advisory = {};
+    m_advisoryHeard = false;
+    m_rateLimiter.reset();
+}
+
+bool HostScheduler::isRegistered(const ServerRestrictions &restrictions) const
+{
+    return !m_server.instance.empty() && restrictions.instance == m_server.instance
+           && restrictions.startTimeMs == m_server.startTimeMs;
+}
+
+bool HostScheduler::isNews(const ServerRestrictions &restrictions, TimePoint now) const
+{
+    if (restrictions.instance.empty())
+        return false;
+    if (restrictions.leaving)
+        return !isDeregistered(restrictions.instance, restrictions.startTimeMs, now)
+               && !(isRegistered(restrictions) && m_state == HostState::Draining);
+    const double limit = restrictions.requestsPerSecond;
+    if (limit <= 0)
+        return false;
+    if (isRegistered(restrictions))
+        return !m_advisoryHeard
+               && (m_rateLimiter.perSecond() == 0 || limit < m_rateLimiter.perSecond());
+    const bool toldBefore = restrictions.instance == m_toldLimit.instance
+                            && restrictions.startTimeMs == m_toldLimit.startTimeMs;
+    return restrictions.startTimeMs > m_server.startTimeMs
+           && (!toldBefore || limit < m_toldLimit.requestsPerSecond);
+}
+
+HostDecisions HostScheduler::handleRestrictions(const ServerRestrictions &restrictions,
+                                                TimePoint now)
+{
+    if (!isNews(restrictions, now))
+        return {};
+    if (restrictions.leaving)
+        return handleDeregistration(restrictions.instance, restrictions.startTimeMs, now);
+    if (isRegistered(restrictions))
+        setLimit(restrictions.requestsPerSecond, now, restrictions.limitWait);
+    else
+        m_toldLimit = restrictions;
+    return {};
+}
+
 HostDecisions HostScheduler::handleReport(const ServerReport &report, TimePoint now)
 {
     if (!isCurrent(report, now))
         return {};
     if (report.instance != m_server.instance || report.startTimeMs != m_server.startTimeMs) {
-        m_failureRate = 0;
-        m_processingMsByRoute.clear();
-        m_meanProcessingMs = 0;
-        m_advisory = {};
-        m_rateLimiter.reset();
+        resetServer();
     }
     m_server = report;
     m_coldUntil = now + report.warmUpLeft;
     m_state = report.draining ? HostState::Draining : HostState::Ready;
+    if (isRegistered(m_toldLimit)) {
+        setLimit(m_toldLimit.requestsPerSecond, now, m_toldLimit.limitWait);
+        m_toldLimit = {};
+    }
     if (m_state == HostState::Draining)
         return refuseQueued(HostReason::ServerDraining);
     return startQueued(now);
@@ -83,11 +144,14 @@
     const bool current = instance == m_server.instance
                          && (startTimeMs == 0 || startTimeMs >= m_server.startTimeMs);
     if (m_deregistrations.size() >= DEREGISTRATIONS_MAX)
-        m_deregistrations.erase(m_deregistrations.begin());
+        m_deregistrations.erase(std::min_element(
+            m_deregistrations.begin(), m_deregistrations.end(), [](const auto &a, const auto &b) {
+                return a.second.recordedAt < b.second.recordedAt;
+            }));
     Deregistration &kept = m_deregistrations[instance];
     kept.startTimeMs
         = std::max({kept.startTimeMs, startTimeMs, current ? m_server.startTimeMs : 0});
-    kept.until = now + DEREGISTRATION_KEPT;
+    kept.recordedAt = now;
     if (!current)
         return {};
     m_state = HostState::Draining;
@@ -305,6 +369,7 @@
     if (found == m_running.end() || found->second.instance != m_server.instance
         || found->second.serverStartTimeMs != m_server.startTimeMs)
         return {};
+    m_advisoryHeard = true;
     // An answer without a limit may have overtaken the one that named it.
     if (advisory.requestsPerSecond || found->second.started >= m_limitNamedAt)
         setLimit(advisory.requestsPerSecond, now);
@@ -315,10 +380,11 @@
     return startQueued(now);
 }
 
-void HostScheduler::setLimit(std::optional<double> requestsPerSecond, TimePoint now)
+void HostScheduler::setLimit(std::optional<double> requestsPerSecond, TimePoint now,
+                             Duration firstWait)
 {
     m_advisory.requestsPerSecond = requestsPerSecond;
-    m_rateLimiter.setLimit(requestsPerSecond, now);
+    m_rateLimiter.setLimit(requestsPerSecond, now, firstWait);
     if (requestsPerSecond)
         m_limitNamedAt = now;
 }
@@ -405,6 +471,7 @@
 {
     HostLoad load;
     load.instance = m_server.instance;
+    load.startTimeMs = m_server.startTimeMs;
     load.service = m_server.service;
     load.state = m_state;
     load.slots = m_server.slots;
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -53,6 +53,14 @@
      */
     HostDecisions handleDeregistration(const std::string &instance, std::int64_t startTimeMs,
                                        TimePoint now);
+    /** @return true when handleRestrictions() would change anything. */
+    bool isNews(const ServerRestrictions &restrictions, TimePoint now) const;
+    /**
+     * Handles what a peer knows of a server from before a restart of this daemon. Ignored when the
+     * server's own answers have told more since.
+     * @return refusals of the queued calls when the registered server leaves.
+     */
+    HostDecisions handleRestrictions(const ServerRestrictions &restrictions, TimePoint now);
     /** Handles a refused connection. @return refusals of the queued calls. */
     HostDecisions handleServerDown(TimePoint now);
     /** Handles an answer from an unregistered instance. @return refusals of the queued calls. */
@@ -120,10 +128,13 @@
     struct Deregistration
     {
         std::int64_t startTimeMs = 0; ///< Latest start that is deregistered; 0: all starts.
-        TimePoint until{0};           ///< Delayed reports of the server are ignored until then.
+        TimePoint recordedAt{0};
     };
 
     bool isCurrent(const ServerReport &report, TimePoint now) const;
+    bool isDeregistered(const std::string &instance, std::int64_t startTimeMs, TimePoint now) const;
+    bool isRegistered(const ServerRestrictions &restrictions) const;
+    void resetServer();
     HostDecisions refuseQueued(HostReason reason);
     HostDecisions startQueued(TimePoint now);
     double expectedProcessingMs(const std::string &route) const;
@@ -136,14 +147,16 @@
     std::map<QueueKey, HostCall>::iterator nextQueued(TimePoint now);
     HostReason checkAdmission(HostCall &call, TimePoint now) const;
     HostReason checkQueued(const HostCall &call, std::size_t position, TimePoint now) const;
-    void setLimit(std::optional<double> requestsPerSecond, TimePoint now);
+    void setLimit(std::optional<double> requestsPerSecond, TimePoint now, Duration firstWait = {0});
     HostDecision makeRefusal(HostCallId id, HostReason reason, Duration wait) const;
 
     const HostSchedulerOptions m_options;
     const OutputScheduler *m_link = nullptr;
-    ServerReport m_server;       ///< Latest report of the registered server.
-    ServerAdvisory m_advisory;   ///< Advisory of the registered server that is in force.
-    TimePoint m_limitNamedAt{0}; ///< When an answer last named the limit.
+    ServerReport m_server;          ///< Latest report of the registered server.
+    ServerAdvisory m_advisory;      ///< Advisory of the registered server that is in force.
+    TimePoint m_limitNamedAt{0};    ///< When an answer, or a peer, last named the limit.
+    bool m_advisoryHeard = false;   ///< The registered server has answered this daemon.
+    ServerRestrictions m_toldLimit; ///< Limit of a server that has not registered yet.
     RateLimiter m_rateLimiter;
     HostState m_state = HostState::None;
     bool m_shuttingDown = false; ///< The daemon shuts down.
--- a/src/hosting/rate_limiter.cpp
+++ b/src/hosting/rate_limiter.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-void RateLimiter::setLimit(std::optional<double> perSecond, TimePoint now)
+void RateLimiter::setLimit(std::optional<double> perSecond, TimePoint now, Duration firstWait)
 {
     if (!perSecond) {
         m_perSecond = 0;
@@ -26,7 +26,8 @@
     }
     const double limit = std::max(*perSecond, m_options.perSecondMin);
     if (m_perSecond == 0) {
-        m_tokens = 0;
+        const double firstTokens = 1 - static_cast<double>(firstWait.ms) * limit / MS_PER_SECOND;
+        m_tokens = std::min(0.0, firstTokens);
         m_tokensAt = now;
         m_limitedSince = now;
     } else if (limit != m_perSecond) {
--- a/src/hosting/rate_limiter.h
+++ b/src/hosting/rate_limiter.h
@@ -32,8 +32,13 @@
 public:
     explicit RateLimiter(RateLimiterOptions options) : m_options(options) {}
 
-    /** Sets or removes the limit. @param perSecond Requests a second; nothing: no limit. */
-    void setLimit(std::optional<double> perSecond, TimePoint now);
+    /**
+     * Sets or removes the limit.
+     * @param perSecond Requests a second; nothing: no limit.
+     * @param now Time.
+     * @param firstWait Time until the first request may start, when a limit begins.
+     */
+    void setLimit(std::optional<double> perSecond, TimePoint now, Duration firstWait = {0});
     /** Forgets the limit and all starts, for another server. */
     void reset();
     /** Records that a request starts. */
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -564,3 +564,52 @@
     scheduler.handleReport(makeReport("a", 20, 1), NOW);
     CHECK(starts(scheduler.submit(makeCall(100), NOW), 100));
 }
+
+// Guards against a restart of the daemon that forgets a limit: peers tell it before their calls.
+TEST_CASE("a limit told by a peer holds until the server's own answers say otherwise", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleRestrictions({"a", 10, false, 2.0, {0}}, NOW);
+    scheduler.handleRestrictions({"a", 10, false, 5.0, {0}}, NOW);
+    scheduler.handleReport(makeReport("a", 10, 1), NOW);
+    CHECK(scheduler.load(NOW).requestsPerSecond == 2.0);
+    CHECK(scheduler.submit(makeCall(1), NOW).size() == 1);
+    CHECK(refuses(scheduler.submit(makeCall(2), NOW), 2, HostReason::Full));
+    HostCall patient = makeCall(3, 5000, 6000);
+    CHECK(scheduler.submit(patient, NOW).empty());
+    CHECK(starts(scheduler.tick(NOW + Duration{500}), 3));
+    scheduler.handleAdvisory(3, {}, NOW + Duration{600});
+    scheduler.complete(3, HostFinish::Served, {100}, NOW + Duration{600});
+    CHECK(scheduler.load(NOW).requestsPerSecond == 0);
+    CHECK_FALSE(scheduler.isNews({"a", 10, false, 1.0, {0}}, NOW));
+    scheduler.handleRestrictions({"a", 10, false, 1.0, {0}}, NOW);
+    CHECK(scheduler.load(NOW).requestsPerSecond == 0);
+}
+
+// Guards against a limit of the previous start that is held against the next one.
+TEST_CASE("what peers tell of another start of the server does not count", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleRestrictions({"a", 10, false, 2.0, {0}}, NOW);
+    scheduler.handleReport(makeReport("a", 11, 1), NOW);
+    CHECK(scheduler.load(NOW).requestsPerSecond == 0);
+    scheduler.handleRestrictions({"a", 10, true, 0, {0}}, NOW);
+    CHECK(scheduler.load(NOW).state == HostState::Ready);
+    scheduler.handleRestrictions({"a", 11, true, 0, {0}}, NOW);
+    CHECK(scheduler.load(NOW).state == HostState::Draining);
+}
+
+// Guards against the loss of the newest deregistration when many are kept.
+TEST_CASE("a server that left stays away for good, whatever came after it", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    for (int i = 0; i < 200; i++) {
+        const std::string name = "s" + std::to_string(1000 - i);
+        const TimePoint at = NOW + seconds(i);
+        scheduler.handleDeregistration(name, 10, at);
+        scheduler.handleReport(makeReport(name, 10, 1), at + Duration{900});
+        CHECK(scheduler.load(at).state == HostState::None);
+    }
+    scheduler.handleReport(makeReport("s801", 10, 2), NOW + seconds(1000));
+    CHECK(scheduler.load(NOW).state == HostState::None);
+}
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -97,7 +97,8 @@
             load.linkBytesPerSecond,
             load.linkBytesCommitted,
             static_cast<std::int64_t>(load.requestsPerSecond * 1000),
-            static_cast<std::int64_t>(load.limitWaitMs)};
+            static_cast<std::int64_t>(load.limitWaitMs),
+            load.startTimeMs};
 }
 
 HostLoad loadFromJson(const Json &list)
@@ -117,9 +118,26 @@
     load.linkBytesCommitted = optionalAt(list, 10, std::uint64_t{0});
     load.requestsPerSecond = optionalAt(list, 11, 0.0) / 1000;
     load.limitWaitMs = optionalAt(list, 12, 0.0);
+    load.startTimeMs = optionalAt(list, 13, std::int64_t{0});
     return load;
 }
 
+Json toJson(const ServerRestrictions &restrictions)
+{
+    return {restrictions.instance, restrictions.startTimeMs, restrictions.leaving,
+            static_cast<std::int64_t>(restrictions.requestsPerSecond * 1000),
+            restrictions.limitWait.ms};
+}
+
+ServerRestrictions restrictionsFromJson(const Json &list)
+{
+    return {list.at(0).get<std::string>(),
+            list.at(1).get<std::int64_t>(),
+            list.at(2).get<bool>(),
+            list.at(3).get<double>() / 1000,
+            {list.at(4).get<std::int64_t>()}};
+}
+
 Json toJson(const DaemonRecord &record)
 {
     return {record.name.text(),       record.dataCentre.text(), record.linkEndpoint.ip,
@@ -225,14 +243,16 @@
 {
     Json operator()(const LinkHello &m) const
     {
-        return {Kind::Hello, m.format,           toJson(m.sender),
-                m.version,   m.recipient.text(), m.acceptsBodyParts};
+        return {Kind::Hello,        m.format,           toJson(m.sender),      m.version,
+                m.recipient.text(), m.acceptsBodyParts, toJson(m.restrictions)};
     }
     Json operator()(const LinkDaemonState &m) const
     {
-        return {Kind::DaemonState, m.name.text(), m.incarnation,  toJson(m.load),
-                m.version,         m.storeAge.ms, m.shuttingDown, m.deregisteredInstance,
-                m.watchingStore,   m.storeEra};
+        // Daemons of an earlier build read only the instance of a server that leaves.
+        const std::string leaving = m.restrictions.leaving ? m.restrictions.instance : "";
+        return {Kind::DaemonState, m.name.text(), m.incarnation,         toJson(m.load),
+                m.version,         m.storeAge.ms, m.shuttingDown,        leaving,
+                m.watchingStore,   m.storeEra,    toJson(m.restrictions)};
     }
     Json operator()(const LinkCall &m) const
     {
@@ -328,23 +348,38 @@
     return m;
 }
 
+LinkDaemonState stateFromJson(const Json &list)
+{
+    LinkDaemonState m;
+    m.name = ServerId(list.at(1).get<std::string>());
+    m.incarnation = list.at(2).get<std::uint64_t>();
+    m.load = loadFromJson(list.at(3));
+    m.version = list.at(4).get<Revision>();
+    m.storeAge = {list.at(5).get<std::int64_t>()};
+    m.shuttingDown = list.at(6).get<bool>();
+    m.watchingStore = list.at(8).get<bool>();
+    m.storeEra = optionalAt(list, 9, std::uint64_t{0});
+    if (list.size() > 10) {
+        m.restrictions = restrictionsFromJson(list.at(10));
+    } else {
+        m.restrictions.instance = list.at(7).get<std::string>();
+        m.restrictions.leaving = !m.restrictions.instance.empty();
+    }
+    return m;
+}
+
 LinkMessage messageFromJson(const Json &list)
 {
     switch (static_cast<Kind>(list.at(0).get<unsigned>())) {
     case Kind::Hello:
-        return LinkHello{list.at(1).get<unsigned>(), recordFromJson(list.at(2)),
-                         list.at(3).get<Revision>(), ServerId(list.at(4).get<std::string>()),
-                         optionalAt(list, 5, false)};
+        return LinkHello{list.at(1).get<unsigned>(),
+                         recordFromJson(list.at(2)),
+                         list.at(3).get<Revision>(),
+                         ServerId(list.at(4).get<std::string>()),
+                         optionalAt(list, 5, false),
+                         list.size() > 6 ? restrictionsFromJson(list.at(6)) : ServerRestrictions()};
     case Kind::DaemonState:
-        return LinkDaemonState{ServerId(list.at(1).get<std::string>()),
-                               list.at(2).get<std::uint64_t>(),
-                               loadFromJson(list.at(3)),
-                               list.at(4).get<Revision>(),
-                               {list.at(5).get<std::int64_t>()},
-                               list.at(6).get<bool>(),
-                               list.at(8).get<bool>(),
-                               optionalAt(list, 9, std::uint64_t{0}),
-                               list.at(7).get<std::string>()};
+        return stateFromJson(list);
     case Kind::Call:
         return callFromJson(list);
     case Kind::Cancel:
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -25,19 +25,22 @@
     ServerId recipient; ///< Expected name of the accepting daemon; its address may be reassigned.
     /** The sender reads LinkBodyPart; daemons built before that message do not say so. */
     bool acceptsBodyParts = true;
+    ServerRestrictions
+        restrictions; ///< Of the accepting daemon's server, as the sender knows them.
 };
 /** State of the accepting daemon. It answers the hello; updates follow on the same link. */
 struct LinkDaemonState
 {
-    ServerId name;                    ///< Name of the accepting daemon.
-    std::uint64_t incarnation = 0;    ///< Its incarnation.
-    HostLoad load;                    ///< Load of its local server.
-    Revision version = 0;             ///< Version of the routes that it has in force.
-    Duration storeAge;                ///< Time since its last contact with the platform's store.
-    bool shuttingDown = false;        ///< It is about to stop.
-    bool watchingStore = false;       ///< It watches the platform's store and pushes new versions.
-    std::uint64_t storeEra = 0;       ///< Highest era of the store that it knows; 0: none.
-    std::string deregisteredInstance; ///< See Peer::deregisteredInstance; empty when none.
+    ServerId name;                 ///< Name of the accepting daemon.
+    std::uint64_t incarnation = 0; ///< Its incarnation.
+    HostLoad load;                 ///< Load of its local server.
+    Revision version = 0;          ///< Version of the routes that it has in force.
+    Duration storeAge;             ///< Time since its last contact with the platform's store.
+    bool shuttingDown = false;     ///< It is about to stop.
+    bool watchingStore = false;    ///< It watches the platform's store and pushes new versions.
+    std::uint64_t storeEra = 0;    ///< Highest era of the store that it knows; 0: none.
+    ServerRestrictions
+        restrictions; ///< Of the opener's server, as the accepting daemon knows them.
 };
 /** Offers a call to the accepting daemon, for its local server. */
 struct LinkCall
--- a/src/link/tests/link_test.cpp
+++ b/src/link/tests/link_test.cpp
@@ -49,7 +49,7 @@
     result.load.requestsPerSecond = 12.5;
     result.load.limitWaitMs = 80;
     LinkDaemonState state;
-    state.deregisteredInstance = "i-9";
+    state.restrictions = {"i-9", 77, true, 2.5, {30}};
     state.watchingStore = true;
     const std::string bytes = encodeLinkMessage(sampleCall()) + encodeLinkMessage(result)
                               + encodeLinkMessage(LinkCancel{3, true}) + encodeLinkMessage(state);
@@ -77,7 +77,12 @@
         CHECK(std::get<LinkResult>(messages[1]).load.requestsPerSecond == 12.5);
         CHECK(std::get<LinkResult>(messages[1]).load.limitWaitMs == 80);
         CHECK(std::get<LinkCancel>(messages[2]).onlyIfQueued);
-        CHECK(std::get<LinkDaemonState>(messages[3]).deregisteredInstance == "i-9");
+        const ServerRestrictions &told = std::get<LinkDaemonState>(messages[3]).restrictions;
+        CHECK(told.instance == "i-9");
+        CHECK(told.startTimeMs == 77);
+        CHECK(told.leaving);
+        CHECK(told.requestsPerSecond == 2.5);
+        CHECK(told.limitWait.ms == 30);
         CHECK(std::get<LinkDaemonState>(messages[3]).watchingStore);
     }
 }
@@ -143,7 +148,7 @@
         nlohmann::json::to_cbor(list, old);
         return old;
     };
-    const auto hello = decodeLinkMessage(withoutLast(LinkHello(), 1));
+    const auto hello = decodeLinkMessage(withoutLast(LinkHello(), 2));
     REQUIRE(hello);
     CHECK_FALSE(std::get<LinkHello>(hello.value()).acceptsBodyParts);
     LinkResult result;
@@ -155,7 +160,14 @@
     CHECK(std::get<LinkResult>(read.value()).outcome.response.body == "whole");
     CHECK(std::get<LinkResult>(read.value()).load.linkBytesPerSecond == 0);
     CHECK(std::get<LinkResult>(read.value()).load.requestsPerSecond == 0);
-    const auto state = decodeLinkMessage(withoutLast(LinkDaemonState(), 1));
+    LinkDaemonState sent;
+    sent.storeEra = 4;
+    sent.restrictions = {"i-9", 77, true, 2.5, {30}};
+    const auto state = decodeLinkMessage(withoutLast(sent, 2));
     REQUIRE(state);
     CHECK(std::get<LinkDaemonState>(state.value()).storeEra == 0);
+    // An earlier build tells only which server leaves, without its start.
+    CHECK(std::get<LinkDaemonState>(state.value()).restrictions.instance == "i-9");
+    CHECK(std::get<LinkDaemonState>(state.value()).restrictions.startTimeMs == 0);
+    CHECK(std::get<LinkDaemonState>(state.value()).restrictions.leaving);
 }
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -91,6 +91,23 @@
     execute(decisions);
 }
 
+void HostCallExecutor::handleRestrictions(const ServerId &peer,
+                                          const ServerRestrictions &restrictions)
+{
+    const HostState before = load().state;
+    if (!m_scheduler.isNews(restrictions, m_loop.now()))
+        return;
+    m_log.logStateChange("server_restrictions", [&](LogFields &fields) {
+        fields.add("peer", peer.text());
+        fields.add("instance", restrictions.instance);
+        fields.add("leaving", std::int64_t{restrictions.leaving ? 1 : 0});
+        fields.add("limit_per_s", restrictions.requestsPerSecond);
+    });
+    const HostDecisions decisions = m_scheduler.handleRestrictions(restrictions, m_loop.now());
+    announceLeaving(before);
+    execute(decisions);
+}
+
 /** Logs that the server leaves, and tells the peers, unless its state is still @p before. */
 void HostCallExecutor::announceLeaving(HostState before)
 {
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -54,6 +54,8 @@
     void handleReport(const ServerReport &report);
     /** Handles the deregistration of a server. */
     void handleDeregistration(const ServerReport &report);
+    /** Handles what a peer knows of the server from before a restart of this daemon. */
+    void handleRestrictions(const ServerId &peer, const ServerRestrictions &restrictions);
     /** Refuses new calls, because the daemon is shutting down. */
     void beginShutdown();
     /** Handles an offer of a call. */
--- a/src/node/peer_links.h
+++ b/src/node/peer_links.h
@@ -34,6 +34,8 @@
     virtual void peerReplaced(const ServerId &peer) = 0;
     /** A peer opened an inbound link and sent its record. */
     virtual void peerAnnounced(const DaemonRecord &record) = 0;
+    /** A peer told what it knows of this daemon's server, before its first call on a link. */
+    virtual void restrictionsTold(const ServerId &peer, const ServerRestrictions &restrictions) = 0;
     /** Handles a message of a peer on the outbound link. */
     virtual void handlePeerAnswer(const ServerId &peer, LinkMessage message) = 0;
     /** Handles a message of a peer on its inbound link. */
--- a/src/node/peer_links_internal.h
+++ b/src/node/peer_links_internal.h
@@ -35,6 +35,8 @@
         hello.sender = m_links.m_table.self();
         hello.version = m_links.m_listener.routesVersion();
         hello.recipient = m_record.name;
+        if (const Peer *known = m_links.m_table.find(m_record.name))
+            hello.restrictions = known->restrictionsAt(m_links.m_loop.now());
         m_connection->write(encodeLinkMessage(hello));
     }
 
@@ -263,9 +265,10 @@
             m_links.replaceInboundLink(*this);
             m_links.m_retries.erase(peer.name);
             m_links.m_listener.peerAnnounced(peer);
+            m_links.m_listener.restrictionsTold(peer.name, hello->restrictions);
             LinkDaemonState state = m_links.m_listener.linkState();
             if (const Peer *known = m_links.m_table.find(peer.name))
-                state.deregisteredInstance = known->deregisteredInstance;
+                state.restrictions = known->restrictionsAt(m_links.m_loop.now());
             send(encodeLinkMessage(state));
             return true;
         }
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -113,6 +113,7 @@
     void senderLost(const ServerId &peer, std::uint64_t incarnation) override;
     void peerReplaced(const ServerId &peer) override;
     void peerAnnounced(const DaemonRecord &record) override;
+    void restrictionsTold(const ServerId &peer, const ServerRestrictions &restrictions) override;
     void handlePeerAnswer(const ServerId &peer, LinkMessage message) override;
     void handlePeerRequest(const DaemonRecord &peer, LinkMessage message) override;
     void handleState(const ServerId &name, const LinkDaemonState &state);
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -119,6 +119,11 @@
     m_peers.addOrUpdate(record, true);
 }
 
+void ProxyNode::restrictionsTold(const ServerId &peer, const ServerRestrictions &restrictions)
+{
+    m_hostCalls.handleRestrictions(peer, restrictions);
+}
+
 void ProxyNode::handlePeerAnswer(const ServerId &name, LinkMessage message)
 {
     if (Peer *peer = m_peers.find(name))
@@ -137,25 +142,14 @@
     Peer *peer = m_peers.find(name);
     if (peer == nullptr)
         return;
-    peer->load = state.load;
-    peer->loadReportedAt = now;
-    if (state.load.state == HostState::Draining)
-        peer->deregisteredInstance = state.load.instance;
-    else if (state.load.instance == peer->deregisteredInstance)
-        peer->deregisteredInstance.clear();
+    peer->recordLoad(state.load, now);
     peer->callsInFlightAtReport = peer->callsInFlight;
     peer->bulkBytesInFlightAtReport = peer->bulkBytesInFlight;
     const bool hasLostStore = state.storeAge - peer->storeAge > STORE_LOSS_AGE;
     peer->storeAge = state.storeAge;
     peer->shuttingDown = state.shuttingDown;
     peer->watchingStore = state.watchingStore;
-    if (!state.deregisteredInstance.empty()) {
-        // The peer knows from the previous daemon of this VM that the server is deregistered; a
-        // late report must not register it again.
-        ServerReport deregistered;
-        deregistered.instance = state.deregisteredInstance;
-        m_hostCalls.handleDeregistration(deregistered);
-    }
+    restrictionsTold(name, state.restrictions);
     // A peer that has not heard of the newest era yet is no news.
     if (state.storeEra > m_storeEra.current())
         observeStoreEra(state.storeEra, name.text());
@@ -171,8 +165,7 @@
 {
     const TimePoint now = m_loop.now();
     if (Peer *peer = m_peers.find(name)) {
-        peer->load = result.load;
-        peer->loadReportedAt = now;
+        peer->recordLoad(result.load, now);
         peer->callsInFlightAtReport = peer->callsInFlight > 0 ? peer->callsInFlight - 1 : 0;
         const std::uint64_t ended = m_dispatcher.bulkBytesOf(result.offer);
         peer->bulkBytesInFlightAtReport
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -52,6 +52,10 @@
     void senderLost(const ServerId &, std::uint64_t) override { lost++; }
     void peerReplaced(const ServerId &peer) override { replaced = peer.text(); }
     void peerAnnounced(const DaemonRecord &) override {}
+    void restrictionsTold(const ServerId &, const ServerRestrictions &restrictions) override
+    {
+        told = restrictions;
+    }
     void handlePeerAnswer(const ServerId &, LinkMessage message) override
     {
         if (auto *result = std::get_if<LinkResult>(&message))
@@ -63,6 +67,7 @@
     int downs = 0;
     int lost = 0;
     std::string replaced;
+    ServerRestrictions told;
     std::vector<LinkResult> results;
 
 private:
@@ -165,6 +170,33 @@
     CHECK_FALSE(to.sendAnswer(ServerId("asker"), 7, LinkResult()));
 }
 
+// Guards against a restarted daemon that gets calls before it knows what its server had announced.
+TEST_CASE("a daemon that links tells first what it knows of the peer's server", "[node]")
+{
+    EventLoop loop;
+    PeerTable askerTable(record("asker", 47325), PeerOptions());
+    PeerTable hostTable(record("host", 47326), PeerOptions());
+    Listener asker("asker");
+    Listener host("host");
+    BulkWriter bulk(loop, OutputSchedulerOptions());
+    PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
+    PeerLinks to(loop, hostTable, host, PeerLinkOptions(), bulk);
+    REQUIRE(to.listen());
+    askerTable.addOrUpdate(record("host", 47326), true);
+    HostLoad load;
+    load.instance = "i";
+    load.startTimeMs = 9;
+    load.state = HostState::Ready;
+    load.requestsPerSecond = 4.5;
+    askerTable.find(ServerId("host"))->recordLoad(load, {0});
+    from.tick();
+    runUntil(loop, [&] { return from.linksUp() == 1; });
+    CHECK(host.told.instance == "i");
+    CHECK(host.told.startTimeMs == 9);
+    CHECK(host.told.requestsPerSecond == 4.5);
+    CHECK_FALSE(host.told.leaving);
+}
+
 TEST_CASE("small results pass downloads on one link, and each body arrives whole", "[node]")
 {
     EventLoop loop;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -8,7 +8,7 @@
 
 TEST_CASE("all invariants hold in simulation runs of each disruption", "[sim]")
 {
-    for (unsigned i = 0; i < static_cast<unsigned>(Disruption::LimitServers); i++) {
+    for (unsigned i = 0; i < static_cast<unsigned>(Disruption::Count); i++) {
         for (std::uint64_t seed = 1; seed <= 3; seed++) {
             ModelOptions options;
             options.seed = seed;
@@ -57,7 +57,7 @@
 
 // Guards against daemons that send on at the old rate to a server that has named a limit, also when
 // the server's own daemon restarts meanwhile.
-TEST_CASE("servers that name a limit get no more requests than it allows", "[sim][known-red]")
+TEST_CASE("servers that name a limit get no more requests than it allows", "[sim]")
 {
     ModelOptions options;
     options.disruption = Disruption::LimitServers;
@@ -74,7 +74,7 @@
 
 // Guards against requests to a server that has said only in its answers that it leaves, also when
 // its own daemon restarts and a late report still calls it ready.
-TEST_CASE("servers that say in answers that they leave get no later requests", "[sim][known-red]")
+TEST_CASE("servers that say in answers that they leave get no later requests", "[sim]")
 {
     ModelOptions options;
     options.disruption = Disruption::LeaveByAnswers;
