--- a/src/hosting/rate_limiter.h
+++ b/src/hosting/rate_limiter.h
@@ -3,6 +3,7 @@
 
 #include "base/clock_type.h"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 
@@ -30,7 +31,10 @@
 class RateLimiter
 {
 public:
-    explicit RateLimiter(RateLimiterOptions options) : m_options(options) {}
+    explicit RateLimiter(RateLimiterOptions options) : m_options(options)
+    {
+        m_options.settleTime = std::clamp(m_options.settleTime, Duration{0}, m_options.window);
+    }
 
     /**
      * Sets or removes the limit.
@@ -59,7 +63,7 @@
     Duration windowWait(std::size_t position, TimePoint now) const;
     Duration rememberedSpan() const;
 
-    const RateLimiterOptions m_options;
+    RateLimiterOptions m_options;
     double m_perSecond = 0; ///< Limit in force; 0: none.
     double m_tokens = 0;    ///< Requests that may start at m_tokensAt.
     TimePoint m_tokensAt{0};
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -535,6 +535,14 @@
     // 100 starts exceed what 4 s allow, so that none may follow until they are 4 s old.
     CHECK_FALSE(limiter.mayStart(named + Duration{2900}));
     CHECK(limiter.mayStart(named + Duration{4000}));
+    // With a longer settle time fewer of the earlier requests count.
+    RateLimiterOptions settled;
+    settled.settleTime = {3900};
+    RateLimiter lenient{settled};
+    for (std::int64_t ms = 0; ms < 1000; ms += 10)
+        lenient.recordStart(NOW + Duration{ms});
+    lenient.setLimit(10.0, named);
+    CHECK(lenient.mayStart(named + Duration{100}));
     RateLimiter calm{RateLimiterOptions()};
     calm.recordStart(NOW);
     calm.setLimit(10.0, named);
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -47,7 +47,8 @@
 {
 public:
     HostCallExecutor(EventLoop &loop, const CallFields &fields, HostCallListener &listener,
-                     DecisionLog &log, const OutputScheduler &link);
+                     DecisionLog &log, const OutputScheduler &link,
+                     HostSchedulerOptions options = {});
     ~HostCallExecutor();
 
     /** Handles a report of the local server. */
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -115,6 +115,30 @@
           == HostReason::InstanceChanged);
 }
 
+// Guards against answers whose advisory is lost, or taken from bytes that are no answer.
+TEST_CASE("advisories are read from answers and rejections of the expected server only", "[node]")
+{
+    const auto advised = [](HttpResponse response) {
+        response.headers.add("Limit", "7.5");
+        response.headers.add("Leaving", "1");
+        return classifyResponse(std::move(response), "7", FIELDS).advisory;
+    };
+    REQUIRE(advised(makeResponse(200, "7", true)));
+    CHECK(advised(makeResponse(200, "7", true))->value().requestsPerSecond == 7.5);
+    CHECK(advised(makeResponse(500, "7", false))->value().leaving);
+    HttpResponse shed = makeResponse(503, "7", false);
+    shed.headers.add("Not-Run", "1");
+    CHECK(advised(shed)->value().requestsPerSecond == 7.5);
+    CHECK_FALSE(advised(makeResponse(200, "7", false)));
+    CHECK_FALSE(advised(makeResponse(200, "8", true)));
+    CHECK_FALSE(advised(makeResponse(421, "7", false)));
+    HttpResponse malformed = makeResponse(200, "7", true);
+    malformed.headers.add("Limit", "a few");
+    CHECK(classifyResponse(malformed, "7", FIELDS).advisory->error().code
+          == ResultCode::ServerAdvisoryMalformed);
+    CHECK(classifyResponse(malformed, "7", FIELDS).state == RunState::Answered);
+}
+
 TEST_CASE("retries of a refused request are recognized for a while, once per refusal", "[node]")
 {
     RecentRefusals refusals;
