--- a/standin/app_standin.cpp
+++ b/standin/app_standin.cpp
@@ -87,6 +87,10 @@
     response.status = status;
     response.headers.add(fields().requestId, requestId);
     response.headers.add(fields().signature, "seal-" + m_options.id);
+    if (!m_limit.empty())
+        response.headers.add(fields().serverLimit, m_limit);
+    if (m_answersLeaving)
+        response.headers.add(fields().serverLeaving, "1");
     response.body = std::move(body);
     return response;
 }
@@ -94,9 +98,12 @@
 void AppStandin::handle(const HttpRequest &request, const LoopService::Reply &reply)
 {
     if (request.path.rfind("/standin/records", 0) == 0) {
-        HttpResponse response;
-        response.body = Json{{"runs", m_runs}, {"callers", m_callers}}.dump();
-        reply(response);
+        reply(records());
+        return;
+    }
+    if (request.path.rfind("/standin/advisory", 0) == 0) {
+        setAdvisory(request.path.substr(request.path.find('?') + 1));
+        reply(records());
         return;
     }
     const std::string requestId(request.headers.get(fields().requestId));
@@ -117,12 +124,28 @@
     run(request, reply);
 }
 
+HttpResponse AppStandin::records() const
+{
+    HttpResponse response;
+    response.body
+        = Json{{"runs", m_runs}, {"callers", m_callers}, {"arrivals", m_arrivalsMs}}.dump();
+    return response;
+}
+
+void AppStandin::setAdvisory(const std::string &query)
+{
+    m_limit = queryValue(query, "limit");
+    m_answersLeaving = !queryValue(query, "leaving").empty();
+    m_arrivalsMs.clear();
+}
+
 void AppStandin::run(const HttpRequest &request, const LoopService::Reply &reply)
 {
     const std::string requestId(request.headers.get(fields().requestId));
     const std::size_t mark = request.path.find('?');
     const std::string query = mark == std::string::npos ? "" : request.path.substr(mark + 1);
     m_runs[requestId]++;
+    m_arrivalsMs.push_back(m_loop.now().ms);
     m_callers[requestId] = std::string(request.headers.get(fields().caller));
     if (!queryValue(query, "cut").empty()) {
         m_service.breakConnection(m_service.current());
--- a/standin/app_standin.h
+++ b/standin/app_standin.h
@@ -30,7 +30,9 @@
  * Runs requests and reports to its daemon. `?fail=1` answers 500, `?cut=1` breaks the connection,
  * `?other=1` answers under another request's identifier first. `/standin/records` tells how often
  * each request was run. `?deepfail=1` fails at the last service of a chain. With a next service
- * each run calls it, and fails when that call fails.
+ * each run calls it, and fails when that call fails. `/standin/advisory?limit=X&leaving=1` sets
+ * what its answers say of it, while its reports go on as before, and starts the list of arrivals
+ * anew.
  */
 class AppStandin
 {
@@ -45,6 +47,8 @@
 private:
     void handle(const HttpRequest &request, const LoopService::Reply &reply);
     void run(const HttpRequest &request, const LoopService::Reply &reply);
+    HttpResponse records() const;
+    void setAdvisory(const std::string &query);
     void callNext(const HttpRequest &request, const LoopService::Reply &reply);
     void finish(const std::string &requestId, int status, const std::string &body,
                 const LoopService::Reply &reply);
@@ -62,6 +66,9 @@
     std::uint64_t m_sequence = 0;
     unsigned m_running = 0;
     bool m_leaving = false;
+    std::string m_limit;                    ///< Limit that its answers name; empty: none.
+    bool m_answersLeaving = false;          ///< Its answers say that it leaves.
+    std::vector<std::int64_t> m_arrivalsMs; ///< Of requests since the advisory was set, in ms.
 };
 
 } // namespace cornelwell
