--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -458,7 +458,8 @@
             ++position;
             continue;
         }
-        decisions.push_back(makeRefusal(item->second.id, reason, {0}));
+        decisions.push_back(
+            makeRefusal(item->second.id, reason, m_rateLimiter.waitFor(position, now)));
         m_bulkBytesExpected -= item->second.bulkBytes;
         item = m_queue.erase(item);
     }
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -621,3 +621,19 @@
     scheduler.handleReport(makeReport("s801", 10, 2), NOW + seconds(1000));
     CHECK(scheduler.load(NOW).state == HostState::None);
 }
+
+// Guards against calls that are held in vain: more urgent ones take their turn at a limited server.
+TEST_CASE("a queued call that the limit cannot admit in time any more is refused with its wait",
+          "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleReport(makeReport("a", 10, 1), NOW);
+    scheduler.handleRestrictions({"a", 10, false, 5.0, {0}}, NOW);
+    CHECK(scheduler.submit(makeCall(1, 500, 1200, 9), NOW).empty());
+    CHECK(scheduler.submit(makeCall(2, 500, 1200, 1), NOW).empty());
+    CHECK(scheduler.submit(makeCall(3, 650, 1200, 1), NOW).empty());
+    const HostDecisions decisions = scheduler.tick(NOW);
+    REQUIRE(refuses(decisions, 1, HostReason::Full));
+    CHECK(decisions[0].retryAfter == Duration{600});
+    CHECK(scheduler.queued() == 2);
+}
