Codechange: hosting: a named limit is a token bucket alone, without a window over the time before it

The window counted the requests of the last second before a limit was named and blocked a server with a small limit for 3 s, which served nobody. Out go the window, its setting (stable-window-ms) and the wait that peers kept for it.

--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -53,7 +53,6 @@
     std::int64_t startTimeMs = 0; ///< Start of the server in ms of Unix time; 0: unknown.
     bool leaving = false;         ///< The server drains or has deregistered.
     double requestsPerSecond = 0; ///< Limit that the server has named; 0: none.
-    Duration limitWait;           ///< Time until the limit admits the next request.
 };
 
 /** Announcement of a daemon: its identity and where it accepts links. */
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -7,12 +7,6 @@
 
 namespace cornelwell {
 
-namespace {
-
-constexpr double MS_PER_SECOND = 1000;
-
-} // namespace
-
 void Peer::recordLoad(const HostLoad &reported, TimePoint now)
 {
     load = reported;
@@ -24,25 +18,8 @@
                             && reported.startTimeMs != 0;
     if (sameServer && restrictions.leaving && reported.state == HostState::Ready)
         load.state = HostState::Draining;
-    restrictions = {reported.instance,
-                    reported.startTimeMs,
-                    load.state == HostState::Draining,
-                    reported.requestsPerSecond,
-                    {0}};
-    if (reported.requestsPerSecond <= 0)
-        return;
-    // The queue ends with the daemon; a restarted one waits for the requests that have started.
-    const double queueMs = reported.queued * MS_PER_SECOND / reported.requestsPerSecond;
-    restrictions.limitWait
-        = {static_cast<std::int64_t>(std::max(0.0, reported.limitWaitMs - queueMs))};
-}
-
-ServerRestrictions Peer::restrictionsAt(TimePoint now) const
-{
-    ServerRestrictions current = restrictions;
-    current.limitWait
-        = {std::max<std::int64_t>(0, (loadReportedAt + restrictions.limitWait - now).ms)};
-    return current;
+    restrictions = {reported.instance, reported.startTimeMs, load.state == HostState::Draining,
+                    reported.requestsPerSecond};
 }
 
 Peer *PeerTable::find(const ServerId &name)
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -16,8 +16,6 @@
      * have believed a late report.
      */
     void recordLoad(const HostLoad &reported, TimePoint now);
-    /** @return the restrictions of the peer's server as of @p now. */
-    ServerRestrictions restrictionsAt(TimePoint now) const;
 
     DaemonRecord record;                 ///< Latest announcement.
     bool linked = false;                 ///< The link to the peer is open.
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -70,14 +70,14 @@
 }
 
 /** Forgets what was learnt of the registered server, for another one. */
-void HostScheduler::resetServer()
+void HostScheduler::resetServer(TimePoint now)
 {
     m_failureRate = 0;
     m_processingMsByRoute.clear();
     m_meanProcessingMs = 0;
     m_advisory = {};
     m_advisoryHeard = false;
-    m_rateLimiter.reset();
+    m_rateLimiter.setLimit(std::nullopt, now);
 }
 
 bool HostScheduler::isRegistered(const ServerRestrictions &restrictions) const
@@ -113,7 +113,7 @@
     if (restrictions.leaving)
         return handleDeregistration(restrictions.instance, restrictions.startTimeMs, now);
     if (isRegistered(restrictions))
-        setLimit(restrictions.requestsPerSecond, now, restrictions.limitWait);
+        setLimit(restrictions.requestsPerSecond, now);
     else
         m_toldLimit = restrictions;
     return {};
@@ -124,13 +124,13 @@
     if (!isCurrent(report, now))
         return {};
     if (report.instance != m_server.instance || report.startTimeMs != m_server.startTimeMs) {
-        resetServer();
+        resetServer(now);
     }
     m_server = report;
     m_coldUntil = now + report.warmUpLeft;
     m_state = report.draining ? HostState::Draining : HostState::Ready;
     if (isRegistered(m_toldLimit)) {
-        setLimit(m_toldLimit.requestsPerSecond, now, m_toldLimit.limitWait);
+        setLimit(m_toldLimit.requestsPerSecond, now);
         m_toldLimit = {};
     }
     if (m_state == HostState::Draining)
@@ -380,11 +380,10 @@
     return startQueued(now);
 }
 
-void HostScheduler::setLimit(std::optional<double> requestsPerSecond, TimePoint now,
-                             Duration firstWait)
+void HostScheduler::setLimit(std::optional<double> requestsPerSecond, TimePoint now)
 {
     m_advisory.requestsPerSecond = requestsPerSecond;
-    m_rateLimiter.setLimit(requestsPerSecond, now, firstWait);
+    m_rateLimiter.setLimit(requestsPerSecond, now);
     if (requestsPerSecond)
         m_limitNamedAt = now;
 }
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -18,7 +18,7 @@
     double initialProcessingMs = 200;  ///< Processing time, in ms, assumed until one was measured.
     Duration retryAfterMin = {60};     ///< Shortest wait that a refusal advises.
     Duration lateRetryWaitMax = {150}; ///< Longest wait of a retry that misses its soft deadline.
-    RateLimiterOptions rateLimit;      ///< How strictly a limit that the server names is followed.
+    RateLimiterOptions rateLimit;      ///< How a limit that the server names is followed.
 };
 
 /**
@@ -134,7 +134,7 @@
     bool isCurrent(const ServerReport &report, TimePoint now) const;
     bool isDeregistered(const std::string &instance, std::int64_t startTimeMs, TimePoint now) const;
     bool isRegistered(const ServerRestrictions &restrictions) const;
-    void resetServer();
+    void resetServer(TimePoint now);
     HostDecisions refuseQueued(HostReason reason);
     HostDecisions startQueued(TimePoint now);
     double expectedProcessingMs(const std::string &route) const;
@@ -147,7 +147,7 @@
     std::map<QueueKey, HostCall>::iterator nextQueued(TimePoint now);
     HostReason checkAdmission(HostCall &call, TimePoint now) const;
     HostReason checkQueued(const HostCall &call, std::size_t position, TimePoint now) const;
-    void setLimit(std::optional<double> requestsPerSecond, TimePoint now, Duration firstWait = {0});
+    void setLimit(std::optional<double> requestsPerSecond, TimePoint now);
     HostDecision makeRefusal(HostCallId id, HostReason reason, Duration wait) const;
 
     const HostSchedulerOptions m_options;
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -125,17 +125,13 @@
 Json toJson(const ServerRestrictions &restrictions)
 {
     return {restrictions.instance, restrictions.startTimeMs, restrictions.leaving,
-            static_cast<std::int64_t>(restrictions.requestsPerSecond * 1000),
-            restrictions.limitWait.ms};
+            static_cast<std::int64_t>(restrictions.requestsPerSecond * 1000)};
 }
 
 ServerRestrictions restrictionsFromJson(const Json &list)
 {
-    return {list.at(0).get<std::string>(),
-            list.at(1).get<std::int64_t>(),
-            list.at(2).get<bool>(),
-            list.at(3).get<double>() / 1000,
-            {list.at(4).get<std::int64_t>()}};
+    return {list.at(0).get<std::string>(), list.at(1).get<std::int64_t>(), list.at(2).get<bool>(),
+            list.at(3).get<double>() / 1000};
 }
 
 Json toJson(const DaemonRecord &record)
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -47,12 +47,12 @@
 
 HostCallExecutor::HostCallExecutor(EventLoop &loop, const CallFields &fields,
                                    HostCallListener &listener, DecisionLog &log,
-                                   const OutputScheduler &link, HostSchedulerOptions options)
+                                   const OutputScheduler &link)
     : m_loop(loop)
     , m_fields(fields)
     , m_listener(listener)
     , m_log(log)
-    , m_scheduler(options, &link)
+    , m_scheduler(HostSchedulerOptions(), &link)
     , m_pool(loop, fields,
              [this](HostCallId id, const ServerResult &result) { handleResult(id, result); })
 {}
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -47,8 +47,7 @@
 {
 public:
     HostCallExecutor(EventLoop &loop, const CallFields &fields, HostCallListener &listener,
-                     DecisionLog &log, const OutputScheduler &link,
-                     HostSchedulerOptions options = {});
+                     DecisionLog &log, const OutputScheduler &link);
     ~HostCallExecutor();
 
     /** Handles a report of the local server. */
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "fleet/fleet_type.h"
-#include "hosting/rate_limiter.h"
 #include "retry/service_retry_budget.h"
 
 #include <string>
@@ -27,8 +26,7 @@
     Endpoint store;       ///< Address of the platform's store.
     ServiceRetryBudgetOptions retryBudget; ///< Retry budget of the whole fleet.
     std::uint64_t linkBytesPerSecond = 0;  ///< Rate of the VM's network link; 0 when unknown.
-    RateLimiterOptions rateLimit; ///< How strictly a limit that the local server names is followed.
-    Duration grace = seconds(6);  ///< Longest time from SIGTERM to the exit of the process.
+    Duration grace = seconds(6); ///< Longest time from SIGTERM to the exit of the process.
 };
 
 } // namespace cornelwell
--- a/src/node/peer_links_internal.h
+++ b/src/node/peer_links_internal.h
@@ -36,7 +36,7 @@
         hello.version = m_links.m_listener.routesVersion();
         hello.recipient = m_record.name;
         if (const Peer *known = m_links.m_table.find(m_record.name))
-            hello.restrictions = known->restrictionsAt(m_links.m_loop.now());
+            hello.restrictions = known->restrictions;
         m_connection->write(encodeLinkMessage(hello));
     }
 
@@ -268,7 +268,7 @@
             m_links.m_listener.restrictionsTold(peer.name, hello->restrictions);
             LinkDaemonState state = m_links.m_listener.linkState();
             if (const Peer *known = m_links.m_table.find(peer.name))
-                state.restrictions = known->restrictionsAt(m_links.m_loop.now());
+                state.restrictions = known->restrictions;
             send(encodeLinkMessage(state));
             return true;
         }
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -42,13 +42,6 @@
     return options;
 }
 
-HostSchedulerOptions hostOptions(const NodeSettings &settings)
-{
-    HostSchedulerOptions options;
-    options.rateLimit = settings.rateLimit;
-    return options;
-}
-
 std::string joined(const std::vector<std::string> &names)
 {
     std::string text;
@@ -75,8 +68,7 @@
     , m_budget(m_settings.retryBudget)
     , m_quarantine(quarantineOptions())
     , m_bulk(loop, outputOptions(m_settings))
-    , m_hostCalls(loop, adapter.callFields(), *this, m_log, m_bulk.scheduler(),
-                  hostOptions(m_settings))
+    , m_hostCalls(loop, adapter.callFields(), *this, m_log, m_bulk.scheduler())
     , m_startupReports(StartupReportsOptions(), loop.now())
     , m_dispatcher(
           m_peers, m_budget, [this] { return m_shuttingDown ? HostLoad() : m_hostCalls.load(); },
--- a/src/node/settings_change.cpp
+++ b/src/node/settings_change.cpp
@@ -44,8 +44,6 @@
         change.restartRequired.emplace_back("listen");
     if (!(current.server == updated.server))
         change.restartRequired.emplace_back("server");
-    if (current.rateLimit.settleTime != updated.rateLimit.settleTime)
-        change.restartRequired.emplace_back("server_limit");
     return change;
 }
 
