Fix: node: a stop waits for the last answers on connections that it closes

Cause: a session that closes after an answer left the daemon's set of sessions as soon as the answer was queued, so that a shutdown saw no unsent bytes. Class: an exit condition over a set that objects leave before their work is done. The same gap let the connection call the handler of a session that was gone, when its caller sent on (a use after free by the code, not seen in a run). Change: a session is over when its output has left or its connection is closed; input after its end is dropped. Test failed before: [node] a session that closes is over only when its last answer has left (1 == 0).

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t MAX_QUEUED_REQUESTS = 32; ///< Per connection; parsing pauses at this.
 constexpr unsigned REQUEST_TIMEOUT = 408;
+/** A closing session checks this often whether its last answer has left. */
+constexpr Duration OUTPUT_CHECK_INTERVAL{20};
 constexpr const char *CONTINUE_RESPONSE = "HTTP/1.1 100 Continue\r\n\r\n";
 
 RequestLimits readerLimits(const TrafficLimits &limits)
@@ -51,6 +53,8 @@
 
 void CallerSession::received(std::string_view bytes)
 {
+    if (m_ended)
+        return;
     const auto self = shared_from_this();
     m_lastActivity = m_loop.now();
     if (!m_reader.inRequest())
@@ -173,13 +177,23 @@
     if (m_ended)
         return;
     m_ended = true;
-    const auto self = shared_from_this();
     m_loop.cancel(m_idleTimer);
     for (const QueuedRequest &queued : m_queue) {
         if (queued.id != 0 && !queued.response)
             m_owner.callerDisconnected(queued.id);
     }
     m_queue.clear();
+    reportClosed();
+}
+
+/** Tells the owner that the session is over once its last answer has left or cannot leave. */
+void CallerSession::reportClosed()
+{
+    const auto self = shared_from_this();
+    if (m_connection->isOpen() && m_output->unsentBytes() > 0) {
+        m_loop.after(OUTPUT_CHECK_INTERVAL, [self] { self->reportClosed(); });
+        return;
+    }
     m_owner.sessionClosed(*this);
     // This may run inside a callback of the connection, so the session is destroyed later.
     m_loop.after({0}, [self] {});
--- a/src/node/caller_session.h
+++ b/src/node/caller_session.h
@@ -36,7 +36,7 @@
         = 0;
     /** The connection ended before the response to a request was ready. */
     virtual void callerDisconnected(PendingRequestId id) = 0;
-    /** The session ended; it makes no further calls. */
+    /** The session ended and its last answer has left; it makes no further calls. */
     virtual void sessionClosed(CallerSession &session) = 0;
 };
 
@@ -88,6 +88,7 @@
     bool sendNextResponse();
     void rejectInput(unsigned status);
     void endSession();
+    void reportClosed();
     void startIdleTimer();
     void handleIdleTimer();
 
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -331,39 +331,108 @@
     CHECK(output->unsentBytes() == 0);
 }
 
+namespace {
+
+/** Answers each request with a large body, on connections that close when it says so. */
+struct DownloadOwner : public CallerSessionOwner
+{
+    TrafficLimits limits() const override { return {}; }
+    bool shouldCloseConnections() const override { return closes; }
+    bool mayRunConcurrently(const HttpRequest &) const override { return true; }
+    BulkWriter *bulkWriter() override { return writer; }
+    PendingRequestId newRequestId() override { return ++last; }
+    void handleRequest(CallerSession &session, PendingRequestId id, IncomingRequest) override
+    {
+        HttpResponse response;
+        response.status = 200;
+        response.body.assign(100'000, 'x');
+        session.respond(id, response);
+    }
+    void callerDisconnected(PendingRequestId) override {}
+    void sessionClosed(CallerSession &) override { closed++; }
+
+    bool closes = false;
+    BulkWriter *writer = nullptr;
+    PendingRequestId last = 0;
+    unsigned closed = 0;
+};
+
+/** Counts the bytes of an answer. */
+struct CountingCaller : public ConnectionHandler
+{
+    void received(std::string_view bytes) override { count += bytes.size(); }
+    void disconnected(DisconnectReason) override { ended = true; }
+    std::size_t count = 0;
+    bool ended = false;
+};
+
+} // namespace
+
+// Guards against a shutdown that cuts an answer: the daemon forgot the sessions whose connections
+// it had marked for closing, and exited while their last answers were still leaving.
+TEST_CASE("a session that closes is over only when its last answer has left", "[node]")
+{
+    EventLoop loop;
+    OutputSchedulerOptions slowLink;
+    slowLink.bytesPerSecond = 400'000;
+    BulkWriter bulk(loop, slowLink);
+    DownloadOwner owner;
+    owner.closes = true;
+    owner.writer = &bulk;
+    CountingCaller caller;
+    std::shared_ptr<CallerSession> session;
+    const auto listener
+        = TcpListener::listen(loop, {"127.0.0.1", 47327}, [&](TcpConnectionPtr connection) {
+              session = std::make_shared<CallerSession>(loop, owner, std::move(connection), false);
+              session->start();
+          });
+    REQUIRE(listener);
+    const auto connection = TcpConnection::open(loop, {"127.0.0.1", 47327}, Duration{1000}, caller);
+    runUntil(loop, [&] { return session != nullptr; });
+    connection->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(loop, [&] { return session->unsentBytes() > 0; });
+    CHECK(owner.closed == 0);
+    runUntil(loop, [&] { return caller.ended; });
+    CHECK(caller.count > 100'000);
+    runUntil(loop, [&] { return owner.closed == 1; });
+    CHECK(owner.closed == 1);
+}
+
+TEST_CASE("a session that closes is over when its caller leaves before the answer", "[node]")
+{
+    EventLoop loop;
+    OutputSchedulerOptions slowLink;
+    slowLink.bytesPerSecond = 100'000;
+    BulkWriter bulk(loop, slowLink);
+    DownloadOwner owner;
+    owner.closes = true;
+    owner.writer = &bulk;
+    CountingCaller caller;
+    std::shared_ptr<CallerSession> session;
+    const auto listener
+        = TcpListener::listen(loop, {"127.0.0.1", 47328}, [&](TcpConnectionPtr connection) {
+              session = std::make_shared<CallerSession>(loop, owner, std::move(connection), false);
+              session->start();
+          });
+    REQUIRE(listener);
+    const auto connection = TcpConnection::open(loop, {"127.0.0.1", 47328}, Duration{1000}, caller);
+    runUntil(loop, [&] { return session != nullptr; });
+    connection->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(loop, [&] { return caller.count > 0; });
+    connection->close();
+    runUntil(loop, [&] { return owner.closed == 1; });
+    CHECK(owner.closed == 1);
+}
+
 TEST_CASE("a connection is not idle while a request is half read or an answer half sent", "[node]")
 {
     EventLoop loop;
     OutputSchedulerOptions slowLink;
     slowLink.bytesPerSecond = 400'000;
     BulkWriter bulk(loop, slowLink);
-    struct Owner : public CallerSessionOwner
-    {
-        TrafficLimits limits() const override { return {}; }
-        bool shouldCloseConnections() const override { return false; }
-        bool mayRunConcurrently(const HttpRequest &) const override { return true; }
-        BulkWriter *bulkWriter() override { return writer; }
-        PendingRequestId newRequestId() override { return ++last; }
-        void handleRequest(CallerSession &session, PendingRequestId id, IncomingRequest) override
-        {
-            HttpResponse response;
-            response.status = 200;
-            response.body.assign(100'000, 'x');
-            session.respond(id, response);
-        }
-        void callerDisconnected(PendingRequestId) override {}
-        void sessionClosed(CallerSession &) override {}
-
-        BulkWriter *writer = nullptr;
-        PendingRequestId last = 0;
-    } owner;
+    DownloadOwner owner;
     owner.writer = &bulk;
-    struct Caller : public ConnectionHandler
-    {
-        void received(std::string_view bytes) override { count += bytes.size(); }
-        void disconnected(DisconnectReason) override {}
-        std::size_t count = 0;
-    } caller;
+    CountingCaller caller;
     std::shared_ptr<CallerSession> session;
     const auto listener
         = TcpListener::listen(loop, {"127.0.0.1", 47320}, [&](TcpConnectionPtr connection) {
