Fix: fleet, hosting: leaving stays known while a server is down; a told limit holds without a known start

Found by reading: a peer forgot that a server leaves when its daemon reported it down or unknown before a restart, and a limit told for a server whose reports name no start was dropped. Change: leaving stays for the same start whatever state follows; a told limit waits for any server while none is registered.

--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -16,10 +16,12 @@
     const bool sameServer = reported.instance == restrictions.instance
                             && reported.startTimeMs == restrictions.startTimeMs
                             && reported.startTimeMs != 0;
-    if (sameServer && restrictions.leaving && reported.state == HostState::Ready)
+    const bool wasLeaving = sameServer && restrictions.leaving;
+    if (wasLeaving && reported.state == HostState::Ready)
         load.state = HostState::Draining;
-    restrictions = {reported.instance, reported.startTimeMs, load.state == HostState::Draining,
-                    reported.requestsPerSecond};
+    restrictions
+        = {reported.instance, reported.startTimeMs,
+           wasLeaving || reported.state == HostState::Draining, reported.requestsPerSecond};
 }
 
 Peer *PeerTable::find(const ServerId &name)
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -171,7 +171,11 @@
     peer.recordLoad(load, NOW);
     CHECK(peer.load.state == HostState::Draining);
     CHECK(peer.restrictions.leaving);
+    load.state = HostState::None;
+    peer.recordLoad(load, NOW);
+    CHECK(peer.restrictions.leaving);
     load.startTimeMs = 10;
+    load.state = HostState::Ready;
     peer.recordLoad(load, NOW);
     CHECK(peer.load.state == HostState::Ready);
     CHECK_FALSE(peer.restrictions.leaving);
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -101,8 +101,9 @@
                && (m_rateLimiter.perSecond() == 0 || limit < m_rateLimiter.perSecond());
     const bool toldBefore = restrictions.instance == m_toldLimit.instance
                             && restrictions.startTimeMs == m_toldLimit.startTimeMs;
-    return restrictions.startTimeMs > m_server.startTimeMs
-           && (!toldBefore || limit < m_toldLimit.requestsPerSecond);
+    const bool mayRegister
+        = m_server.instance.empty() || restrictions.startTimeMs > m_server.startTimeMs;
+    return mayRegister && (!toldBefore || limit < m_toldLimit.requestsPerSecond);
 }
 
 HostDecisions HostScheduler::handleRestrictions(const ServerRestrictions &restrictions,
@@ -123,9 +124,8 @@
 {
     if (!isCurrent(report, now))
         return {};
-    if (report.instance != m_server.instance || report.startTimeMs != m_server.startTimeMs) {
+    if (report.instance != m_server.instance || report.startTimeMs != m_server.startTimeMs)
         resetServer(now);
-    }
     m_server = report;
     m_coldUntil = now + report.warmUpLeft;
     m_state = report.draining ? HostState::Draining : HostState::Ready;
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -133,6 +133,17 @@
     CHECK_FALSE(startup.hold(makeReport("b", 20, 3), NOW + Duration{700}));
 }
 
+// Guards against a server that is taken back by a report that another writer or a retry sent.
+TEST_CASE("a server that reported draining gets no calls again before its next start", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleReport(makeReport("a", 10, 2, true), NOW);
+    scheduler.handleReport(makeReport("a", 10, 3), NOW);
+    CHECK(scheduler.load(NOW).state == HostState::Draining);
+    scheduler.handleReport(makeReport("a", 11, 1), NOW);
+    CHECK(scheduler.load(NOW).state == HostState::Ready);
+}
+
 TEST_CASE("reports are ordered by start time and sequence number", "[hosting]")
 {
     HostScheduler scheduler = readyScheduler();
@@ -589,6 +600,14 @@
     CHECK(scheduler.load(NOW).requestsPerSecond == 0);
 }
 
+TEST_CASE("a limit told for a server without a known start holds when it registers", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleRestrictions({"a", 0, false, 2.0}, NOW);
+    scheduler.handleReport(makeReport("a", 0, 1), NOW);
+    CHECK(scheduler.load(NOW).requestsPerSecond == 2.0);
+}
+
 // Guards against a limit of the previous start that is held against the next one.
 TEST_CASE("what peers tell of another start of the server does not count", "[hosting]")
 {
