Fix: node, loop: tests listen below the range of ephemeral ports

Cause: the tests' fixed ports 47301 to 47328 lie in 32768 to 60999, from which any connection of another test or program takes its own; such a connection makes the bind fail. Shown: with one connection from 127.0.0.1:47327 the same test fails at the same line. The ports are 273xx now, in all tests of node and loop, the older ones too. No check is changed; [node] and [loop] pass three times.

--- a/src/loop/tests/loop_test.cpp
+++ b/src/loop/tests/loop_test.cpp
@@ -54,7 +54,7 @@
           "[loop]")
 {
     EventLoop loop;
-    const Endpoint address{"127.0.0.1", 47321};
+    const Endpoint address{"127.0.0.1", 27321};
     const std::string text(3000000, 'x');
     std::vector<TcpConnectionPtr> accepted;
     RecordingHandler server(loop);
@@ -75,7 +75,7 @@
     EventLoop second;
     RecordingHandler refused(second);
     const auto unconnected
-        = TcpConnection::open(second, {"127.0.0.1", 47322}, seconds(20), refused);
+        = TcpConnection::open(second, {"127.0.0.1", 27322}, seconds(20), refused);
     second.run();
     CHECK(refused.isDisconnected);
     CHECK(refused.reason == DisconnectReason::Refused);
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -154,20 +154,20 @@
 TEST_CASE("a hello for another daemon does not close the link that is up", "[node]")
 {
     EventLoop loop;
-    PeerTable oldTable(record("asker", 47311), PeerOptions());
-    PeerTable newTable(record("newcomer", 47312), PeerOptions());
+    PeerTable oldTable(record("asker", 27311), PeerOptions());
+    PeerTable newTable(record("newcomer", 27312), PeerOptions());
     Listener asker("asker");
     Listener newcomer("newcomer");
     BulkWriter bulk(loop, OutputSchedulerOptions());
     PeerLinks from(loop, oldTable, asker, PeerLinkOptions(), bulk);
     PeerLinks to(loop, newTable, newcomer, PeerLinkOptions(), bulk);
     REQUIRE(to.listen());
-    oldTable.addOrUpdate(record("newcomer", 47312), true);
+    oldTable.addOrUpdate(record("newcomer", 27312), true);
     from.tick();
     runUntil(loop, [&] { return from.linksUp() == 1; });
     REQUIRE(from.linksUp() == 1);
     // The peer table still holds the VM that had the address before.
-    oldTable.addOrUpdate(record("departed", 47312), true);
+    oldTable.addOrUpdate(record("departed", 27312), true);
     from.tick();
     runUntil(loop, [&] { return !asker.replaced.empty(); });
     CHECK(asker.replaced == "departed");
@@ -179,15 +179,15 @@
 TEST_CASE("an answer to an earlier incarnation of a daemon is not sent to the later one", "[node]")
 {
     EventLoop loop;
-    PeerTable askerTable(record("asker", 47313), PeerOptions());
-    PeerTable hostTable(record("host", 47314), PeerOptions());
+    PeerTable askerTable(record("asker", 27313), PeerOptions());
+    PeerTable hostTable(record("host", 27314), PeerOptions());
     Listener asker("asker");
     Listener host("host");
     BulkWriter bulk(loop, OutputSchedulerOptions());
     PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
     PeerLinks to(loop, hostTable, host, PeerLinkOptions(), bulk);
     REQUIRE(to.listen());
-    askerTable.addOrUpdate(record("host", 47314), true);
+    askerTable.addOrUpdate(record("host", 27314), true);
     from.tick();
     runUntil(loop, [&] { return from.linksUp() == 1; });
     CHECK(to.sendAnswer(ServerId("asker"), 1, LinkResult()));
@@ -198,15 +198,15 @@
 TEST_CASE("a daemon that links tells first what it knows of the peer's server", "[node]")
 {
     EventLoop loop;
-    PeerTable askerTable(record("asker", 47325), PeerOptions());
-    PeerTable hostTable(record("host", 47326), PeerOptions());
+    PeerTable askerTable(record("asker", 27325), PeerOptions());
+    PeerTable hostTable(record("host", 27326), PeerOptions());
     Listener asker("asker");
     Listener host("host");
     BulkWriter bulk(loop, OutputSchedulerOptions());
     PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
     PeerLinks to(loop, hostTable, host, PeerLinkOptions(), bulk);
     REQUIRE(to.listen());
-    askerTable.addOrUpdate(record("host", 47326), true);
+    askerTable.addOrUpdate(record("host", 27326), true);
     HostLoad load;
     load.instance = "i";
     load.startTimeMs = 9;
@@ -227,14 +227,14 @@
     OutputSchedulerOptions slowLink;
     slowLink.bytesPerSecond = 2'000'000;
     BulkWriter bulk(loop, slowLink);
-    PeerTable askerTable(record("asker", 47315), PeerOptions());
-    PeerTable hostTable(record("host", 47316), PeerOptions());
+    PeerTable askerTable(record("asker", 27315), PeerOptions());
+    PeerTable hostTable(record("host", 27316), PeerOptions());
     Listener asker("asker");
     Listener host("host");
     PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
     PeerLinks to(loop, hostTable, host, PeerLinkOptions(), bulk);
     REQUIRE(to.listen());
-    askerTable.addOrUpdate(record("host", 47316), true);
+    askerTable.addOrUpdate(record("host", 27316), true);
     from.tick();
     runUntil(loop, [&] { return from.linksUp() == 1; });
     const auto makeResult = [](OfferId offer, std::size_t size) {
@@ -268,14 +268,14 @@
     OutputSchedulerOptions slowLink;
     slowLink.bytesPerSecond = 20'000;
     BulkWriter bulk(loop, slowLink);
-    PeerTable askerTable(record("asker", 47317), PeerOptions());
-    PeerTable hostTable(record("host", 47318), PeerOptions());
+    PeerTable askerTable(record("asker", 27317), PeerOptions());
+    PeerTable hostTable(record("host", 27318), PeerOptions());
     Listener asker("asker");
     Listener host("host");
     PeerLinks from(loop, askerTable, asker, PeerLinkOptions(), bulk);
     auto to = std::make_unique<PeerLinks>(loop, hostTable, host, PeerLinkOptions(), bulk);
     REQUIRE(to->listen());
-    askerTable.addOrUpdate(record("host", 47318), true);
+    askerTable.addOrUpdate(record("host", 27318), true);
     from.tick();
     runUntil(loop, [&] { return from.linksUp() == 1; });
     LinkResult result;
@@ -313,7 +313,7 @@
         void disconnected(DisconnectReason) override {}
     } server;
     const auto listener
-        = TcpListener::listen(loop, {"127.0.0.1", 47319}, [&](TcpConnectionPtr connection) {
+        = TcpListener::listen(loop, {"127.0.0.1", 27319}, [&](TcpConnectionPtr connection) {
               connection->start(server);
               output = std::make_shared<PacedOutput>(connection, &bulk);
               for (const std::size_t size : {100U, 200'000U, 300U, 50'000U, 10U}) {
@@ -324,7 +324,7 @@
               output->closeWhenSent();
           });
     REQUIRE(listener);
-    const auto connection = TcpConnection::open(loop, {"127.0.0.1", 47319}, Duration{1000}, reader);
+    const auto connection = TcpConnection::open(loop, {"127.0.0.1", 27319}, Duration{1000}, reader);
     runUntil(loop, [&] { return reader.ended; });
     CHECK(reader.text.size() == expected.size());
     CHECK(reader.text == expected);
@@ -408,7 +408,7 @@
 // it had marked for closing, and exited while their last answers were still leaving.
 TEST_CASE("a session that closes is over only when its last answer has left", "[node]")
 {
-    DownloadSession download(47327, 400'000, true);
+    DownloadSession download(27327, 400'000, true);
     download.connection->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     runUntil(download.loop, [&] { return download.session->unsentBytes() > 0; });
     CHECK(download.owner.closed == 0);
@@ -420,7 +420,7 @@
 
 TEST_CASE("a session that closes is over when its caller leaves before the answer", "[node]")
 {
-    DownloadSession download(47328, 100'000, true);
+    DownloadSession download(27328, 100'000, true);
     download.connection->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     runUntil(download.loop, [&] { return download.caller.count > 0; });
     download.connection->close();
@@ -430,7 +430,7 @@
 
 TEST_CASE("a connection is not idle while a request is half read or an answer half sent", "[node]")
 {
-    DownloadSession download(47320, 400'000, false);
+    DownloadSession download(27320, 400'000, false);
     CallerSession &session = *download.session;
     CHECK(session.isIdle());
     download.connection->write("GET / HTTP/1.1\r\nHost");
--- a/src/node/tests/server_trouble_test.cpp
+++ b/src/node/tests/server_trouble_test.cpp
@@ -190,7 +190,7 @@
 TEST_CASE("bytes without end are no answer: the connection closes, the caller gets an outcome",
           "[node]")
 {
-    Fixture fixture(47321);
+    Fixture fixture(27321);
     OfferId offer = 0;
     for (const Flood &flood : FLOODS) {
         INFO(flood.name);
@@ -218,7 +218,7 @@
 
 TEST_CASE("bodies without end on all connections together stay within one bound", "[node]")
 {
-    Fixture fixture(47322);
+    Fixture fixture(27322);
     const Flood endless{"", FLOODS[6].start, FLOODS[6].repeated};
     fixture.server.flood = &endless;
     std::size_t most = 0;
@@ -235,7 +235,7 @@
 
 TEST_CASE("a call that is never answered ends after its deadline and frees its slot", "[node]")
 {
-    Fixture fixture(47323);
+    Fixture fixture(27323);
     const Flood silence{"", "", ""};
     fixture.server.flood = &silence;
     fixture.offer(1, false, {300});
@@ -251,7 +251,7 @@
 
 TEST_CASE("an outcome that had to be dropped is never reported as not run", "[node]")
 {
-    Fixture fixture(47324);
+    Fixture fixture(27324);
     CHECK(fixture.executor.findOutcome({ServerId("a"), 1, 9})->state == RunState::NotRun);
     constexpr OfferId CALLS = 4200; // More than the outcomes that are kept.
     constexpr OfferId BATCH = 200;
@@ -267,7 +267,7 @@
 
 TEST_CASE("a full server that ends connections is not taken for a dead one", "[node]")
 {
-    Fixture fixture(47325);
+    Fixture fixture(27325);
     fixture.server.resets = true;
     for (OfferId offer = 1; offer <= 8; offer++) {
         fixture.offer(offer, offer % 2 == 0, seconds(20));
