--- a/sim/quota_model.cpp
+++ b/sim/quota_model.cpp
@@ -421,8 +421,10 @@
     {
         Daemon &daemon = m_daemons[message.to];
         if (const auto *request = std::get_if<QuotaRequest>(&message.payload)) {
-            const QuotaGrant grant
-                = timed([&] { return daemon.coordinator->handleRequest(*request, m_now); });
+            const QuotaGrant grant = timed([&] {
+                return daemon.coordinator->handleRequest(m_daemons[message.from].name, *request,
+                                                         m_now);
+            });
             if (daemon.coordinator->isShort())
                 perform(message.to, timed([&] { return daemon.coordinator->tick(m_now); }));
             if (message.from == message.to)
--- a/src/link/link_quota_codec_func.cpp
+++ b/src/link/link_quota_codec_func.cpp
@@ -1,6 +1,8 @@
 /** @file link_quota_codec_func.cpp Fields of the messages of quotas in their order. */
 #include "link/link_quota_codec_func.h"
 
+#include "link/link_codec_internal.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cornelwell {
@@ -9,8 +11,8 @@
 
 Json quotaToJson(const QuotaRequest &request)
 {
-    return {nullptr,        request.id,       request.tenant,
-            request.wanted, request.arrivals, request.fallback};
+    return {nullptr,          request.id,       request.tenant,  request.wanted,
+            request.arrivals, request.fallback, request.repeated};
 }
 
 Json quotaToJson(const QuotaGrant &grant)
@@ -41,7 +43,7 @@
 {
     return {list.at(1).get<std::uint64_t>(), list.at(2).get<std::string>(),
             list.at(3).get<std::uint32_t>(), list.at(4).get<std::uint32_t>(),
-            list.at(5).get<std::uint32_t>()};
+            list.at(5).get<std::uint32_t>(), link_json::optionalAt(list, 6, false)};
 }
 
 QuotaGrant quotaGrantFromJson(const Json &list)
--- a/src/node/proxy_node_quota.cpp
+++ b/src/node/proxy_node_quota.cpp
@@ -222,7 +222,8 @@
 {
     const TimePoint now = m_loop.now();
     if (action.coordinator == m_settings.self.name) {
-        const QuotaGrant grant = m_quotas.coordinator.handleRequest(action.request, now);
+        const QuotaGrant grant
+            = m_quotas.coordinator.handleRequest(m_settings.self.name, action.request, now);
         perform(m_quotas.client.handleGrant(grant, now));
         if (m_quotas.coordinator.isShort())
             perform(m_quotas.coordinator.tick(now));
@@ -279,7 +280,7 @@
 {
     const TimePoint now = m_loop.now();
     if (const auto *request = std::get_if<LinkQuotaRequest>(&message)) {
-        const QuotaGrant grant = m_quotas.coordinator.handleRequest(request->request, now);
+        const QuotaGrant grant = m_quotas.coordinator.handleRequest(peer, request->request, now);
         if (m_links.sendAnswer(peer, incarnation, LinkQuotaGrant{grant}))
             m_quotas.messagesSent++;
         if (m_quotas.coordinator.isShort())
@@ -315,6 +316,7 @@
     set("quota_tokens", "fate=\"lent\"", coordinator.given);
     set("quota_tokens", "fate=\"borrowed\"", coordinator.received);
     set("quota_tokens", "fate=\"late\"", coordinator.late);
+    set("quota_repeats", "", client.repeats);
     set("quota_timeouts", "", client.timeouts);
     set("quota_buckets_emptied", "", coordinator.emptied);
     set("quota_messages", "direction=\"sent\"", m_quotas.messagesSent);
--- a/src/quota/quota_client.cpp
+++ b/src/quota/quota_client.cpp
@@ -138,12 +138,12 @@
         actions.emplace_back(AdmitRequest{request});
         askAhead(account, actions, now);
     } else if (isSuspect(account, now)) {
-        decideByFallback(account, request, actions, now);
+        decideByFallback(account, {request, now}, actions, now);
     } else if (now < account.refuseUntil) {
         refuse(account, request, account.retryAt - now, QuotaRefusal::Exhausted, actions);
     } else {
         account.waiting.push_back({request, now});
-        if (!account.outstanding && now >= account.askAgainAt)
+        if (isFleetKnown() && !account.outstanding && now >= account.askAgainAt)
             ask(account, actions, now);
     }
     updateActive(tenant, account);
@@ -175,13 +175,33 @@
     message.arrivals = account.arrivals;
     message.fallback = account.fallbackAdmitted;
     account.arrivals = 0;
-    account.outstanding
-        = Outstanding{message.id, coordinator, now, wanted, account.fallbackAdmitted};
+    account.outstanding = Outstanding{message, coordinator, now, now};
     if (coordinator != m_fleet.self())
         m_counts.requests++;
     actions.emplace_back(SendQuotaRequest{coordinator, std::move(message)});
 }
 
+void QuotaClient::askAgain(Account &account, QuotaActions &actions, TimePoint now)
+{
+    Outstanding &outstanding = *account.outstanding;
+    outstanding.lastSentAt = now;
+    outstanding.message.repeated = true;
+    m_counts.repeats++;
+    actions.emplace_back(SendQuotaRequest{outstanding.coordinator, outstanding.message});
+}
+
+/** Asks once more, or decides without the coordinator when its time is up. */
+void QuotaClient::handleMissingAnswer(Account &account, QuotaActions &actions, TimePoint now)
+{
+    const Outstanding &outstanding = *account.outstanding;
+    if (now - outstanding.sentAt >= m_options.grantTimeout) {
+        m_counts.timeouts++;
+        suspect(account, ServerId(outstanding.coordinator), m_options.suspicion, actions, now);
+    } else if (now - outstanding.lastSentAt >= m_options.resendAfter) {
+        askAgain(account, actions, now);
+    }
+}
+
 void QuotaClient::askAhead(Account &account, QuotaActions &actions, TimePoint now)
 {
     if (account.outstanding || now < account.refuseUntil || isSuspect(account, now))
@@ -201,39 +221,54 @@
     actions.emplace_back(RefuseRequest{request, account.quota.tenant, bounded, reason});
 }
 
-void QuotaClient::decideByFallback(Account &account, std::uint64_t request, QuotaActions &actions,
+/** Admits a request by a token of the fallback bucket; without one it waits or is refused. */
+void QuotaClient::decideByFallback(Account &account, const Waiting &request, QuotaActions &actions,
                                    TimePoint now)
 {
     const double perSecond = account.quota.perSecond * m_fleet.daemonShare();
     if (!account.fallback.isActive())
         account.fallback.enter(now);
     if (perSecond <= 0) {
-        refuse(account, request, UNKNOWN_FLEET_RETRY_AFTER, QuotaRefusal::Fallback, actions);
+        refuse(account, request.request, UNKNOWN_FLEET_RETRY_AFTER, QuotaRefusal::Fallback,
+               actions);
     } else if (account.fallback.take(perSecond, m_options.fallbackLifetime, now)) {
         m_counts.admitted++;
         m_counts.fallback++;
         account.fallbackAdmitted++;
-        actions.emplace_back(AdmitRequest{request, true});
+        actions.emplace_back(AdmitRequest{request.request, true});
+    } else if (account.suspectUntil < request.since + m_options.waitMax) {
+        // The coordinator is asked again before the wait ends.
+        account.waiting.push_back(request);
     } else {
         // The coordinator may answer sooner than the next token comes.
         const Duration untilToken = account.fallback.untilNext(perSecond);
         const Duration untilAsked = account.suspectUntil - now;
-        refuse(account, request, untilAsked < untilToken ? untilAsked : untilToken,
+        refuse(account, request.request, untilAsked < untilToken ? untilAsked : untilToken,
                QuotaRefusal::Fallback, actions);
     }
 }
 
-/** Uses the fallback bucket until the coordinator is asked again. */
-void QuotaClient::suspect(Account &account, const ServerId &coordinator, QuotaActions &actions,
-                          TimePoint now)
+/** Uses the fallback bucket until the coordinator is asked again, after @p pause. */
+void QuotaClient::suspect(Account &account, const ServerId &coordinator, Duration pause,
+                          QuotaActions &actions, TimePoint now)
 {
     account.outstanding.reset();
     account.suspect = coordinator;
-    account.suspectUntil = now + m_options.suspicion;
-    while (!account.waiting.empty()) {
-        const std::uint64_t request = account.waiting.front().request;
-        account.waiting.pop_front();
+    account.suspectUntil = now + pause;
+    account.askAgainAt = account.suspectUntil;
+    const std::deque<Waiting> waiting = std::move(account.waiting);
+    account.waiting.clear();
+    for (const Waiting &request : waiting)
         decideByFallback(account, request, actions, now);
+}
+
+/** Refuses the requests whose wait for a list of the daemons has ended. */
+void QuotaClient::refuseUnknownFleet(Account &account, QuotaActions &actions, TimePoint now)
+{
+    while (!account.waiting.empty() && now - account.waiting.front().since >= m_options.waitMax) {
+        refuse(account, account.waiting.front().request, UNKNOWN_FLEET_RETRY_AFTER,
+               QuotaRefusal::Fallback, actions);
+        account.waiting.pop_front();
     }
 }
 
@@ -269,16 +304,19 @@
     QuotaActions actions;
     const auto found = m_accounts.find(grant.tenant);
     if (found == m_accounts.end() || !found->second.outstanding
-        || found->second.outstanding->id != grant.id) {
+        || found->second.outstanding->message.id != grant.id) {
         // The request is decided already, so its tokens must not be used a second time.
-        m_counts.lapsed += grant.granted;
+        const bool isCopy = found != m_accounts.end() && found->second.answeredId == grant.id;
+        m_counts.lapsed += isCopy ? 0 : grant.granted;
         return actions;
     }
     Account &account = found->second;
-    const Outstanding asked = *account.outstanding;
+    const ServerId coordinator = account.outstanding->coordinator;
+    const QuotaRequest asked = std::move(account.outstanding->message);
     account.outstanding.reset();
+    account.answeredId = grant.id;
     if (!grant.coordinating) {
-        suspect(account, asked.coordinator, actions, now);
+        suspect(account, coordinator, m_options.notReadyPause, actions, now);
         updateActive(grant.tenant, account);
         return actions;
     }
@@ -327,16 +365,14 @@
     const std::set<std::string> active = m_active;
     for (const std::string &tenant : active) {
         Account &account = m_accounts.at(tenant);
-        if (account.outstanding && now - account.outstanding->sentAt >= m_options.grantTimeout) {
-            m_counts.timeouts++;
-            suspect(account, ServerId(account.outstanding->coordinator), actions, now);
-        }
+        if (account.outstanding)
+            handleMissingAnswer(account, actions, now);
         serveWaiting(account, actions, now);
-        if (!account.waiting.empty() && !account.outstanding) {
-            // Requests whose wait has ended are refused after one more answer.
-            if (now >= account.askAgainAt)
-                ask(account, actions, now);
-        }
+        if (!isFleetKnown())
+            refuseUnknownFleet(account, actions, now);
+        // Requests whose wait has ended are refused after one more answer.
+        else if (!account.waiting.empty() && !account.outstanding && now >= account.askAgainAt)
+            ask(account, actions, now);
         updateActive(tenant, account);
     }
     return actions;
--- a/src/quota/quota_client.h
+++ b/src/quota/quota_client.h
@@ -22,6 +22,7 @@
     std::uint64_t refused = 0;  ///< Requests that got none.
     std::uint64_t lapsed = 0;   ///< Tokens that were not used in time, or came too late.
     std::uint64_t requests = 0; ///< Messages to coordinators, without those to this daemon itself.
+    std::uint64_t repeats = 0;  ///< Messages that were sent again.
     std::uint64_t timeouts = 0; ///< Messages without an answer in time.
 };
 
@@ -80,11 +81,10 @@
     /** A message that was sent to a coordinator. */
     struct Outstanding
     {
-        std::uint64_t id = 0;
+        QuotaRequest message;
         ServerId coordinator;
-        TimePoint sentAt{0};
-        unsigned wanted = 0;
-        std::uint32_t fallback = 0; ///< Admissions by the fallback bucket that it reported.
+        TimePoint sentAt{0};     ///< For the first time.
+        TimePoint lastSentAt{0}; ///< For the last time.
     };
     /** State of one tenant. */
     struct Account
@@ -99,7 +99,8 @@
         std::deque<Batch> batches;
         std::deque<Waiting> waiting;
         std::optional<Outstanding> outstanding;
-        TimePoint askAgainAt{0}; ///< Time of the next message for waiting requests.
+        std::uint64_t answeredId = 0; ///< Of the last message that was answered.
+        TimePoint askAgainAt{0};      ///< Time of the next message for waiting requests.
         TimePoint refuseUntil{0};
         TimePoint retryAt{0}; ///< Time that the coordinator named with its last refusal.
         FallbackBucket fallback;
@@ -113,14 +114,19 @@
     unsigned tokensOf(const Account &account) const;
     bool takeToken(Account &account, TimePoint now);
     void ask(Account &account, QuotaActions &actions, TimePoint now);
+    void askAgain(Account &account, QuotaActions &actions, TimePoint now);
+    void handleMissingAnswer(Account &account, QuotaActions &actions, TimePoint now);
     void askAhead(Account &account, QuotaActions &actions, TimePoint now);
     bool isSuspect(Account &account, TimePoint now);
-    void suspect(Account &account, const ServerId &coordinator, QuotaActions &actions,
-                 TimePoint now);
-    void decideByFallback(Account &account, std::uint64_t request, QuotaActions &actions,
+    /** @return true when this daemon knows the part of a quota that it stands for. */
+    bool isFleetKnown() const { return m_fleet.daemonShare() > 0; }
+    void suspect(Account &account, const ServerId &coordinator, Duration pause,
+                 QuotaActions &actions, TimePoint now);
+    void decideByFallback(Account &account, const Waiting &request, QuotaActions &actions,
                           TimePoint now);
     void serveWaiting(Account &account, QuotaActions &actions, TimePoint now);
     void refuseWaiting(Account &account, Duration retryAfter, QuotaActions &actions, TimePoint now);
+    void refuseUnknownFleet(Account &account, QuotaActions &actions, TimePoint now);
     void refuse(Account &account, std::uint64_t request, Duration retryAfter, QuotaRefusal reason,
                 QuotaActions &actions);
     void updateActive(const std::string &tenant, const Account &account);
--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -22,6 +22,7 @@
     , m_options(options)
     , m_startedAt(now)
     , m_lastRunAt(now)
+    , m_fleetChangedAt(now)
     , m_lastSequence(static_cast<std::uint64_t>(now.ms))
 {}
 
@@ -48,8 +49,10 @@
 
 void QuotaCoordinator::fleetChanged(TimePoint now)
 {
+    checkPause(now);
+    m_fleetChangedAt = now;
     for (auto &[tenant, ledger] : m_ledgers) {
-        const bool coordinates = m_fleet.coordinates(tenant);
+        const bool coordinates = m_fleet.daemonShare() > 0 && m_fleet.coordinates(tenant);
         configure(ledger, now);
         if (coordinates && !ledger.coordinated)
             restart(ledger, now);
@@ -78,10 +81,11 @@
 {
     ledger.bucket.empty(now);
     m_counts.emptied++;
-    if (now - ledger.startedAt < m_options.startInterval)
+    const double startTokens = m_options.startTokens * m_fleet.coordinatorShare();
+    if (startTokens <= 0 || now - ledger.startedAt < m_options.startInterval)
         return;
     ledger.startedAt = now;
-    ledger.bucket.add(m_options.startTokens * m_fleet.coordinatorShare(), now);
+    ledger.bucket.add(startTokens, now);
 }
 
 void QuotaCoordinator::checkPause(TimePoint now)
@@ -93,7 +97,9 @@
 
 bool QuotaCoordinator::mayCoordinate(TimePoint now) const
 {
-    return now - m_startedAt >= m_options.startDelay && m_fleet.daemonShare() > 0;
+    const bool isSettled = now - m_fleetChangedAt >= m_options.settleTime
+                           || now - m_startedAt >= m_options.startDelay;
+    return isSettled && m_fleet.daemonShare() > 0;
 }
 
 /** @return time until a request can get a token, if the demand stays as it is. */
@@ -113,9 +119,32 @@
     return {std::min(static_cast<std::int64_t>(std::max(1.0, ms)), m_options.retryAfterMax.ms)};
 }
 
-QuotaGrant QuotaCoordinator::handleRequest(const QuotaRequest &request, TimePoint now)
+const QuotaGrant *QuotaCoordinator::findAnswer(const ServerId &daemon, const QuotaRequest &request)
+{
+    const auto found
+        = std::find_if(m_answers.begin(), m_answers.end(), [&](const SentAnswer &answer) {
+              return answer.grant.id == request.id && answer.daemon == daemon;
+          });
+    return found == m_answers.end() ? nullptr : &found->grant;
+}
+
+QuotaGrant QuotaCoordinator::handleRequest(const ServerId &daemon, const QuotaRequest &request,
+                                           TimePoint now)
 {
     checkPause(now);
+    while (!m_answers.empty() && now - m_answers.front().sentAt >= m_options.answerLifetime)
+        m_answers.pop_front();
+    const QuotaGrant *answered = request.repeated ? findAnswer(daemon, request) : nullptr;
+    if (answered != nullptr)
+        return *answered;
+    const QuotaGrant grant = decide(request, now);
+    if (daemon != m_fleet.self())
+        m_answers.push_back({now, daemon, grant});
+    return grant;
+}
+
+QuotaGrant QuotaCoordinator::decide(const QuotaRequest &request, TimePoint now)
+{
     QuotaGrant grant;
     grant.id = request.id;
     grant.tenant = request.tenant;
--- a/src/quota/quota_coordinator.h
+++ b/src/quota/quota_coordinator.h
@@ -6,6 +6,7 @@
 #include "quota/quota_type.h"
 #include "quota/token_bucket.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -58,7 +59,7 @@
     void handlePause(TimePoint now);
 
     /** @return the answer to a daemon of this data centre, which may be this one. */
-    QuotaGrant handleRequest(const QuotaRequest &request, TimePoint now);
+    QuotaGrant handleRequest(const ServerId &daemon, const QuotaRequest &request, TimePoint now);
     /** @return demands on other data centres for tenants that run short; call it regularly. */
     QuotaExchanges tick(TimePoint now);
     /** @return true when tick() should be called now: a request was not granted in whole. */
@@ -95,6 +96,16 @@
         TimePoint startedAt{-1000000}; ///< When the bucket last got start tokens.
     };
 
+    /** An answer that may have been lost. */
+    struct SentAnswer
+    {
+        TimePoint sentAt{0};
+        ServerId daemon;
+        QuotaGrant grant;
+    };
+
+    const QuotaGrant *findAnswer(const ServerId &daemon, const QuotaRequest &request);
+    QuotaGrant decide(const QuotaRequest &request, TimePoint now);
     void restart(Ledger &ledger, TimePoint now);
     bool mayCoordinate(TimePoint now) const;
     void checkPause(TimePoint now);
@@ -110,6 +121,8 @@
     const QuotaOptions m_options;
     const TimePoint m_startedAt;
     TimePoint m_lastRunAt;
+    TimePoint m_fleetChangedAt;
+    std::deque<SentAnswer> m_answers; ///< Of the last QuotaOptions::answerLifetime.
     std::vector<DataCentreId> m_remoteDataCentres;
     std::unordered_map<std::string, Ledger> m_ledgers;
     /** Starts at the time, so that a restarted daemon does not take an answer to the one before. */
--- a/src/quota/quota_type.h
+++ b/src/quota/quota_type.h
@@ -33,6 +33,8 @@
     std::uint32_t arrivals = 0; ///< Requests that arrived at the sender since its last one.
     /** Requests that the sender admitted by its fallback bucket since its last answered one. */
     std::uint32_t fallback = 0;
+    /** The message was sent before; its answer counts once. */
+    bool repeated = false;
 };
 /** Answers a QuotaRequest. */
 struct QuotaGrant
@@ -106,6 +108,9 @@
 struct QuotaOptions
 {
     Duration grantTimeout{60}; ///< Longest wait for a grant.
+    /** A message without an answer is sent again after this time: several times the way to another
+     * daemon of the data centre and back, and short enough for two repeats before grantTimeout. */
+    Duration resendAfter{20};
     /** Longest wait of a request whose coordinator answers that tokens are to come. */
     Duration waitMax{200};
     Duration batchTime{250};      ///< A daemon asks for the tokens of this time.
@@ -117,6 +122,9 @@
     /** After a time-out the fallback bucket is used for this long before the coordinator is asked
      * again. */
     Duration suspicion{250};
+    /** The same after an answer that the daemon does not coordinate yet: it has just started, or
+     * sees other members, and both last for a short time. */
+    Duration notReadyPause{50};
     /** Tokens of the fallback bucket lapse after this time. */
     Duration fallbackLifetime{1000};
     Duration retryAfterMax{5000}; ///< Longest Retry-After.
@@ -146,8 +154,13 @@
     /** A coordinator that did not run for this long starts with an empty bucket: another one has
      * granted tokens meanwhile. */
     Duration pauseMax{1000};
-    /** A daemon coordinates this long after its start; it does not know its peers before. */
+    /** A daemon coordinates when the members that it knows have not changed for this long. A
+     * daemon that has just started learns of its peers one after the other. */
+    Duration settleTime{100};
+    /** It coordinates this long after its start even if its members still change. */
     Duration startDelay{1000};
+    /** Answers are kept for requests that are repeated; longer than grantTimeout and the way. */
+    Duration answerLifetime{100};
 };
 
 } // namespace cornelwell
--- a/src/quota/tests/quota_fleet_test.cpp
+++ b/src/quota/tests/quota_fleet_test.cpp
@@ -124,7 +124,7 @@
 }
 
 // Guards against refusals below the quota while daemons do not reach their coordinators.
-TEST_CASE("wide failures refuse practically nothing below the quota", "[quota][known-red]")
+TEST_CASE("wide failures refuse practically nothing below the quota", "[quota]")
 {
     for (const auto &[failure, seed] : WIDE_FAILURES) {
         INFO("seed " << seed);
--- a/src/quota/tests/quota_test.cpp
+++ b/src/quota/tests/quota_test.cpp
@@ -75,7 +75,7 @@
     QuotaGrant ask(std::uint32_t wanted, TimePoint now, std::uint32_t fallback = 0)
     {
         coordinator.tick(now);
-        return coordinator.handleRequest({1, "t", wanted, 0, fallback}, now);
+        return coordinator.handleRequest(OTHER, {1, "t", wanted, 0, fallback}, now);
     }
     /** Lets time pass as the daemon does. */
     void run(TimePoint from, TimePoint until)
@@ -172,7 +172,12 @@
 {
     ClientFixture fixture;
     fixture.acquire(1, NOW);
-    CHECK(fixture.client.tick(NOW + Duration{50}).empty());
+    // The message is sent again, and nothing is decided.
+    const auto repeated = fixture.client.tick(NOW + Duration{50});
+    REQUIRE(repeated.size() == 1);
+    CHECK(only<SendQuotaRequest>(repeated).at(0).request.id == fixture.asked);
+    CHECK(only<SendQuotaRequest>(repeated).at(0).request.repeated);
+    CHECK(fixture.client.tick(NOW + Duration{59}).empty());
     const auto ended = fixture.client.tick(NOW + Duration{60});
     REQUIRE(only<RefuseRequest>(ended).size() == 1);
     CHECK(only<RefuseRequest>(ended)[0].reason == QuotaRefusal::Fallback);
@@ -264,7 +269,8 @@
     CHECK(fixture.coordinator.state("t", now).perSecond == Approx(10));
     fixture.coordinator.setQuotas({{"t", 4, 4}}, now + seconds(1));
     CHECK(fixture.coordinator.state("t", now).perSecond == Approx(1));
-    CHECK_FALSE(fixture.coordinator.handleRequest({1, "unknown", 1, 1, 0}, now).coordinating);
+    CHECK_FALSE(
+        fixture.coordinator.handleRequest(OTHER, {1, "unknown", 1, 1, 0}, now).coordinating);
 }
 
 // Guards against a share granted twice: by a coordinator and by the one that follows or woke up.
@@ -273,7 +279,8 @@
     CoordinatorFixture fixture;
     fixture.run(NOW, NOW + seconds(10));
     // Stood still for 4 s: only the start tokens.
-    CHECK(fixture.coordinator.handleRequest({1, "t", 100, 0, 0}, NOW + seconds(14)).granted <= 3);
+    CHECK(fixture.coordinator.handleRequest(OTHER, {1, "t", 100, 0, 0}, NOW + seconds(14)).granted
+          <= 3);
     // The clock of this daemon did not count a suspension.
     fixture.run(NOW + seconds(14), NOW + seconds(16));
     fixture.coordinator.handlePause(NOW + seconds(16));
@@ -292,8 +299,77 @@
     CHECK(fixture.ask(100, NOW + seconds(40)).granted <= 3);
     QuotaCoordinator started(fixture.fleet, DataCentreId("east"), QuotaOptions(), NOW);
     started.setQuotas({{"t", 40, 40}}, NOW);
-    CHECK_FALSE(started.handleRequest({1, "t", 1, 1, 0}, NOW + Duration{500}).coordinating);
-    CHECK(started.handleRequest({1, "t", 1, 1, 0}, NOW + Duration{1000}).coordinating);
+    // It coordinates when its members have settled, or after its start delay.
+    const auto coordinates = [&](int ms) {
+        return started.handleRequest(OTHER, {1, "t", 1, 1, 0}, NOW + Duration{ms}).coordinating;
+    };
+    CHECK_FALSE(coordinates(90));
+    started.fleetChanged(NOW + Duration{95});
+    CHECK_FALSE(coordinates(190));
+    CHECK(coordinates(200));
+    started.fleetChanged(NOW + Duration{950});
+    CHECK_FALSE(coordinates(999));
+    CHECK(coordinates(1000));
+}
+
+// Guards against tokens that are lost with an answer, or granted twice to a repeated message.
+TEST_CASE("a repeated message gets the answer that was lost", "[quota]")
+{
+    CoordinatorFixture fixture;
+    fixture.run(NOW, NOW + seconds(10));
+    const TimePoint now = NOW + seconds(10);
+    QuotaRequest request{7, "t", 5, 5, 2};
+    CHECK(fixture.coordinator.handleRequest(OTHER, request, now).granted == 5);
+    const double left = fixture.coordinator.state("t", now).tokens;
+    request.repeated = true;
+    CHECK(fixture.coordinator.handleRequest(OTHER, request, now).granted == 5);
+    CHECK(fixture.coordinator.state("t", now).tokens == left);
+    // The same number of another daemon, and a repeat whose first copy did not arrive.
+    CHECK(fixture.coordinator.handleRequest(ServerId("third"), request, now).granted == 5);
+    CHECK(fixture.coordinator.state("t", now).tokens == Approx(left - 7));
+    ClientFixture client;
+    client.acquire(1, NOW);
+    client.client.tick(NOW + Duration{20});
+    CHECK(client.client.counts().repeats == 1);
+    CHECK(only<AdmitRequest>(client.grant(1, NOW + Duration{21})).size() == 1);
+    CHECK(client.grant(1, NOW + Duration{22}).empty());
+    CHECK(client.client.counts().lapsed == 0);
+}
+
+// Guards against refusals in the first moments of a restarted daemon, herd kills above all: the
+// list of the daemons and the coordinator are there before the request has to be decided.
+TEST_CASE("requests wait for the list of daemons and for a coordinator that starts", "[quota]")
+{
+    QuotaFleet fleet{ME};
+    QuotaClient client(fleet, QuotaOptions());
+    client.setQuotas({{"t", 40, 40}}, NOW);
+    CHECK(client.acquire("t", 1, NOW).empty());
+    CHECK(client.isWaiting());
+    CHECK(client.tick(NOW + Duration{199}).empty());
+    CHECK(client.acquire("t", 2, NOW + Duration{150}).empty());
+    const auto refused = client.tick(NOW + Duration{200});
+    CHECK(only<RefuseRequest>(refused).at(0).request == 1);
+    fleet.setMembers(members({OTHER}, 400));
+    const auto asked = only<SendQuotaRequest>(client.tick(NOW + Duration{210}));
+    REQUIRE(asked.size() == 1);
+    CHECK(
+        client.handleGrant({asked[0].request.id, "t", 0, {0}, false}, NOW + Duration{212}).empty());
+    CHECK(client.tick(NOW + Duration{250}).empty());
+    const auto again = only<SendQuotaRequest>(client.tick(NOW + Duration{262}));
+    REQUIRE(again.size() == 1);
+    const QuotaGrant grant{again[0].request.id, "t", 1, {0}, true};
+    CHECK(only<AdmitRequest>(client.handleGrant(grant, NOW + Duration{264})).at(0).request == 2);
+}
+
+// Guards against start tokens that are lost when quotas come into force long after the start.
+TEST_CASE("a coordinator keeps its start tokens after an idle time", "[quota]")
+{
+    QuotaFleet fleet{ME};
+    fleet.setMembers(members({ME}, 2));
+    QuotaCoordinator coordinator(fleet, DataCentreId("east"), QuotaOptions(), NOW);
+    coordinator.setQuotas({{"t", 4, 4}}, NOW + seconds(60));
+    coordinator.tick(NOW + seconds(60) + Duration{100});
+    CHECK(coordinator.state("t", NOW + seconds(60) + Duration{100}).tokens >= 3);
 }
 
 // Guards against tokens that exist twice, come late or reach the wrong daemon.
@@ -302,7 +378,7 @@
     CoordinatorFixture poor;
     poor.run(NOW, NOW + seconds(5));
     const TimePoint now = NOW + seconds(5);
-    poor.coordinator.handleRequest({1, "t", 100, 40, 0}, now);
+    poor.coordinator.handleRequest(OTHER, {1, "t", 100, 40, 0}, now);
     const auto demands = poor.coordinator.tick(now + Duration{100});
     REQUIRE(demands.size() == 1);
     CHECK(demands[0].exchange.dataCentre == DataCentreId("west"));
@@ -327,7 +403,7 @@
     CHECK(poor.coordinator.counts().received == tokens);
     CHECK(poor.coordinator.counts().late == tokens);
     // A second demand whose answer takes too long.
-    poor.coordinator.handleRequest({2, "t", 100, 40, 0}, now + Duration{300});
+    poor.coordinator.handleRequest(OTHER, {2, "t", 100, 40, 0}, now + Duration{300});
     const auto second = poor.coordinator.tick(now + Duration{400});
     REQUIRE(second.size() == 1);
     QuotaExchange late = answer;
