Fix: node: a refusal that may be a copy of an earlier one is no proof that a request has not run

Cause: a refusal, or a 421, without an identifier counted as an answer to the request in progress on any connection, and a 421 with the identifier of another request counted too. A faulty server that writes an earlier refusal once more on a kept connection made callers hear 'not run' for requests that it ran (reports of other operators). One that echoes the same identifier can be told only by the connection. Ruled out: refusals with the identifier of another request; they were skipped as late ones before. Change: without an identifier a refusal is proof only on the first request of a connection; else the outcome is unknown. A connection does not carry a request again whose identifier is among the last 64 that it carried. The 421 check of the existing test is kept for a new connection; the other cases demand 'unknown'.

--- a/src/exchange/tests/exchange_test.cpp
+++ b/src/exchange/tests/exchange_test.cpp
@@ -178,3 +178,51 @@
     CHECK(serializeRequest(request)
           == "POST /x?y HTTP/1.1\r\nX-Kept: yes\r\nContent-Length: 2\r\n\r\nab");
 }
+
+// Guards against a server that stops in the middle of its answer's head and closes: callers got a
+// 200 with an empty or short body, framed as whole.
+TEST_CASE("a response whose head is cut is never complete", "[exchange]")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string heads[] = {
+        "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\nContent-Length: 3\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: 7\r\nSeal: s\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: 7\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nId: 7\r\n\r\n",
+    };
+    for (const std::string &head : heads) {
+        for (const std::string &before : {std::string(), interim, interim + interim}) {
+            for (std::size_t cut = 0; cut < head.size(); cut++) {
+                INFO(head << " after " << before.size() << " bytes, cut at " << cut);
+                ResponseReader reader;
+                reader.beginResponse("GET");
+                reader.feed(before + head.substr(0, cut));
+                CHECK(reader.parse() == ResponseParseStatus::NeedMore);
+                CHECK(reader.handleEof() == ResponseParseStatus::Failed);
+                // The same with the bytes one by one.
+                ResponseReader slow;
+                slow.beginResponse("GET");
+                bool complete = false;
+                for (const char byte : before + head.substr(0, cut)) {
+                    slow.feed(std::string(1, byte));
+                    complete = complete || slow.parse() == ResponseParseStatus::Complete;
+                }
+                CHECK_FALSE(complete);
+                CHECK(slow.handleEof() == ResponseParseStatus::Failed);
+            }
+        }
+    }
+    // A head that ends in bare line feeds is not one that a later close completes.
+    ResponseReader bare;
+    bare.beginResponse("GET");
+    bare.feed("HTTP/1.1 200 OK\r\nId: 7\nSeal: s\n\n");
+    CHECK(bare.parse() != ResponseParseStatus::Complete);
+    CHECK(bare.handleEof() == ResponseParseStatus::Failed);
+    // A length that never comes: the field's name is there, its value is cut.
+    ResponseReader unfinished;
+    unfinished.beginResponse("GET");
+    unfinished.feed("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 1");
+    CHECK(unfinished.parse() == ResponseParseStatus::NeedMore);
+    CHECK(unfinished.handleEof() == ResponseParseStatus::Failed);
+}
--- a/src/node/server_connection_pool.cpp
+++ b/src/node/server_connection_pool.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <deque>
 
 namespace cornelwell {
 
@@ -19,6 +20,9 @@
 /** Most bytes of unfinished responses on all connections; the response that exceeds it is broken
  * off, since a server may send bytes without end on each of its connections. */
 constexpr std::size_t MAX_BUFFERED_BYTES = 24UL * 1024 * 1024;
+/** Requests of a connection that are remembered. A server that repeats an earlier answer does so
+ * after few others; more would only cost memory. */
+constexpr std::size_t MAX_CARRIED_IDS = 64;
 constexpr int MISDIRECTED_REQUEST = 421;
 constexpr int MIN_SERVER_ERROR = 500;
 constexpr int MIN_SUCCESS = 200;
@@ -51,15 +55,19 @@
 } // namespace
 
 HostOutcome classifyResponse(HttpResponse response, const std::string &requestId,
-                             const CallFields &fields)
+                             const CallFields &fields, ConnectionUse use)
 {
     HostOutcome outcome;
     outcome.sentToServer = true;
     const Result<ServerAdvisory> advisory = parseServerAdvisory(
         response.headers.get(fields.serverLimit), response.headers.get(fields.serverLeaving));
-    const bool echoesRequestId = response.headers.get(fields.requestId) == requestId;
-    if (response.headers.has(fields.notRun)
-        && (echoesRequestId || !response.headers.has(fields.requestId))) {
+    const bool echoesRequestId
+        = !requestId.empty() && response.headers.get(fields.requestId) == requestId;
+    // Without an identifier a refusal on a connection in use again may be a copy of an earlier one.
+    const bool isAboutThis
+        = echoesRequestId
+          || (use == ConnectionUse::First && response.headers.get(fields.requestId).empty());
+    if (isAboutThis && response.headers.has(fields.notRun)) {
         outcome.state = RunState::NotRun;
         outcome.reason = response.status == MISDIRECTED_REQUEST ? HostReason::InstanceChanged
                                                                 : HostReason::ServerShed;
@@ -67,7 +75,7 @@
             outcome.advisory = advisory;
         return outcome;
     }
-    if (response.status == MISDIRECTED_REQUEST) {
+    if (isAboutThis && response.status == MISDIRECTED_REQUEST) {
         outcome.state = RunState::NotRun;
         outcome.reason = HostReason::InstanceChanged;
         return outcome;
@@ -104,6 +112,9 @@
     {
         current = std::move(request);
         startedAt = m_pool.m_loop.now();
+        m_carriedIds.push_back(current.requestId);
+        if (m_carriedIds.size() > MAX_CARRIED_IDS)
+            m_carriedIds.pop_front();
         m_staleResponses = 0;
         m_reader.beginResponse(current.request.method);
         if (m_connected)
@@ -157,6 +168,13 @@
         finish(failedResult(RunState::Unknown, HostReason::Broken, true), false);
     }
 
+    /** @return true when the connection has carried the request before: the server may repeat the
+     * answer that it gave then. */
+    bool hasCarried(const std::string &requestId) const
+    {
+        return std::find(m_carriedIds.begin(), m_carriedIds.end(), requestId) != m_carriedIds.end();
+    }
+
     /** Ends the request in progress as if the connection had been reset. */
     void failRequest()
     {
@@ -218,7 +236,10 @@
             return;
         }
         ServerResult result;
-        result.outcome = classifyResponse(std::move(response), current.requestId, m_pool.m_fields);
+        const ConnectionUse use
+            = m_carriedIds.size() > 1 ? ConnectionUse::Repeated : ConnectionUse::First;
+        result.outcome
+            = classifyResponse(std::move(response), current.requestId, m_pool.m_fields, use);
         const bool hasUnsentBytes = m_connection->unsentBytes() > 0;
         const bool keep = m_reusable && m_reader.keepAlive() && !m_reader.hasExtraBytes()
                           && !hasUnsentBytes && m_connection->isOpen() && idle.ms > 0
@@ -265,6 +286,7 @@
     bool m_connected = false;
     bool m_requestSent = false;
     bool m_reusable = true;
+    std::deque<std::string> m_carriedIds; ///< Of the last requests, the current one included.
     int m_staleResponses = 0;
     std::size_t m_countedBytes = 0; ///< Part of ServerConnectionPool::m_bufferedBytes.
 };
@@ -313,7 +335,8 @@
     while (!m_idle.empty() && !connection) {
         const auto last = m_idle.back();
         m_idle.pop_back();
-        if (last->idleUntil > now && last->address == server)
+        if (last->idleUntil > now && last->address == server
+            && !last->hasCarried(request.requestId))
             connection = last;
         else
             last->close();
--- a/src/node/server_connection_pool.h
+++ b/src/node/server_connection_pool.h
@@ -85,15 +85,23 @@
     TimePoint m_lastActivity{0};
 };
 
+/** Whether a connection has carried an earlier request. */
+enum class ConnectionUse : std::uint8_t
+{
+    First,    ///< Its first request.
+    Repeated, ///< It has carried another request before.
+};
+
 /**
  * Determines from a response whether the server ran the request.
  * @param response The response.
  * @param requestId Identifier that the response has to echo.
  * @param fields Names of header fields.
+ * @param use Whether the response can be a copy of an earlier one.
  * @return the outcome; Unknown with HostReason::Garbled when the response is not a valid one to
  * this request.
  */
 HostOutcome classifyResponse(HttpResponse response, const std::string &requestId,
-                             const CallFields &fields);
+                             const CallFields &fields, ConnectionUse use);
 
 } // namespace cornelwell
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -101,22 +101,58 @@
 
 } // namespace
 
+namespace {
+
+HostOutcome classify(HttpResponse response, ConnectionUse use = ConnectionUse::First)
+{
+    return classifyResponse(std::move(response), "7", FIELDS, use);
+}
+
+} // namespace
+
 TEST_CASE("only a signed response to this very request counts as an answer", "[node]")
 {
-    CHECK(classifyResponse(makeResponse(200, "7", true), "7", FIELDS).state == RunState::Answered);
-    CHECK(classifyResponse(makeResponse(500, "7", false), "7", FIELDS).state == RunState::Answered);
-    CHECK(classifyResponse(makeResponse(200, "7", false), "7", FIELDS).state == RunState::Unknown);
-    CHECK(classifyResponse(makeResponse(200, "", true), "7", FIELDS).state == RunState::Unknown);
-    CHECK(classifyResponse(makeResponse(200, "8", true), "7", FIELDS).state == RunState::Unknown);
+    CHECK(classify(makeResponse(200, "7", true)).state == RunState::Answered);
+    CHECK(classify(makeResponse(500, "7", false)).state == RunState::Answered);
+    CHECK(classify(makeResponse(200, "7", false)).state == RunState::Unknown);
+    CHECK(classify(makeResponse(200, "", true)).state == RunState::Unknown);
+    CHECK(classify(makeResponse(200, "8", true)).state == RunState::Unknown);
     HttpResponse encoded = makeResponse(200, "7", true);
     encoded.headers.add("Content-Encoding", "gzip");
-    CHECK(classifyResponse(encoded, "7", FIELDS).state == RunState::Unknown);
+    CHECK(classify(encoded).state == RunState::Unknown);
     HttpResponse shed = makeResponse(503, "7", false);
-    CHECK(classifyResponse(shed, "7", FIELDS).state == RunState::Answered);
+    CHECK(classify(shed).state == RunState::Answered);
     shed.headers.add("Not-Run", "1");
-    CHECK(classifyResponse(shed, "7", FIELDS).reason == HostReason::ServerShed);
-    CHECK(classifyResponse(makeResponse(421, "", false), "7", FIELDS).reason
-          == HostReason::InstanceChanged);
+    CHECK(classify(shed).reason == HostReason::ServerShed);
+    CHECK(classify(makeResponse(421, "", false)).reason == HostReason::InstanceChanged);
+}
+
+// Guards against a server that writes an earlier refusal once more on a kept connection: callers
+// were told "not run" for requests that it ran.
+TEST_CASE("a refusal that may be a copy of an earlier one is no proof", "[node]")
+{
+    for (const int status : {400, 421, 429, 503}) {
+        INFO("status " << status);
+        const auto refusal = [&](const std::string &echoedId) {
+            HttpResponse response = makeResponse(status, echoedId, false);
+            response.headers.add("Not-Run", "1");
+            return response;
+        };
+        CHECK(classify(refusal("7")).state == RunState::NotRun);
+        CHECK(classify(refusal("7"), ConnectionUse::Repeated).state == RunState::NotRun);
+        CHECK(classify(refusal("")).state == RunState::NotRun);
+        CHECK(classify(refusal(""), ConnectionUse::Repeated).state == RunState::Unknown);
+        CHECK(classify(refusal("8")).state == RunState::Unknown);
+        CHECK(classify(refusal("8"), ConnectionUse::Repeated).state == RunState::Unknown);
+    }
+    CHECK(classify(makeResponse(421, "", false), ConnectionUse::Repeated).state
+          == RunState::Unknown);
+    CHECK(classify(makeResponse(421, "8", false)).state == RunState::Unknown);
+    // A request without an identifier gets no proof from a response without one.
+    HttpResponse anonymous = makeResponse(503, "", false);
+    anonymous.headers.add("Not-Run", "1");
+    CHECK(classifyResponse(anonymous, "", FIELDS, ConnectionUse::Repeated).state
+          == RunState::Unknown);
 }
 
 // Guards against answers whose advisory is lost, or taken from bytes that are no answer.
@@ -125,7 +161,7 @@
     const auto advised = [](HttpResponse response) {
         response.headers.add("Limit", "7.5");
         response.headers.add("Leaving", "1");
-        return classifyResponse(std::move(response), "7", FIELDS).advisory;
+        return classify(std::move(response)).advisory;
     };
     REQUIRE(advised(makeResponse(200, "7", true)));
     CHECK(advised(makeResponse(200, "7", true))->value().requestsPerSecond == 7.5);
@@ -138,9 +174,8 @@
     CHECK_FALSE(advised(makeResponse(421, "7", false)));
     HttpResponse malformed = makeResponse(200, "7", true);
     malformed.headers.add("Limit", "a few");
-    CHECK(classifyResponse(malformed, "7", FIELDS).advisory->error().code
-          == ResultCode::ServerAdvisoryMalformed);
-    CHECK(classifyResponse(malformed, "7", FIELDS).state == RunState::Answered);
+    CHECK(classify(malformed).advisory->error().code == ResultCode::ServerAdvisoryMalformed);
+    CHECK(classify(malformed).state == RunState::Answered);
 }
 
 TEST_CASE("retries of a refused request are recognized for a while, once per refusal", "[node]")
--- a/src/node/tests/server_trouble_test.cpp
+++ b/src/node/tests/server_trouble_test.cpp
@@ -58,6 +58,7 @@
 
     const Flood *flood = nullptr; ///< Null: answers well.
     bool resets = false;          ///< Ends each connection that carries a request.
+    unsigned requests = 0;        ///< Requests that were answered.
     std::size_t open() const { return m_clients.size(); }
 
 private:
@@ -79,6 +80,7 @@
                 return;
             }
             if (m_server.flood == nullptr) {
+                m_server.requests++;
                 m_connection->write(
                     "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok");
                 return;
@@ -285,3 +287,17 @@
     fixture.runUntil([&] { return fixture.listener.outcomes.count(9) != 0; });
     CHECK(fixture.listener.outcomes[9].state == RunState::Answered);
 }
+
+// Guards against a copy of the answer to an earlier send of the same request: it echoes the right
+// identifier, so only another connection tells it from the answer to this send.
+TEST_CASE("a request that is sent again does not use the connection that carried it", "[node]")
+{
+    Fixture fixture(27329);
+    fixture.offer(1, true, seconds(1));
+    fixture.runUntil([&] { return fixture.listener.outcomes.count(1) != 0; });
+    CHECK(fixture.server.open() == 1);
+    fixture.offer(2, true, seconds(1));
+    fixture.runUntil([&] { return fixture.listener.outcomes.count(2) != 0; });
+    CHECK(fixture.listener.outcomes[2].state == RunState::Answered);
+    CHECK(fixture.executor.connectionsOpened() == 2);
+}
