--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,10 +13,6 @@
 constexpr int UNAVAILABLE = 503;
 constexpr int GATEWAY_TIMEOUT = 504;
 constexpr int SERVER_ERROR = 500;
-constexpr unsigned RANKS_PER_PRIORITY = 4; ///< Distance of the ranks of two route priorities.
-constexpr unsigned RANK_NESTED = 2; ///< Subtracted for nested calls: they go before new requests.
-/** Meant to put callers' retries before new requests, but rankOf() never subtracts it. */
-constexpr unsigned RANK_RETRY = 1;
 constexpr double BYTES_PER_KB = 1024;
 constexpr double HEADERS_KB = 0.5; ///< Header fields and framing of request and response together.
 constexpr double SMOOTHING = 0.1;  ///< Weight of the newest value in the route statistics.
@@ -26,32 +22,6 @@
 constexpr unsigned WHOLE_SHARE = 1000;             ///< All requests, in thousandths.
 constexpr std::int64_t OFFER_TIME_MIN_MS = 20; ///< No offer is made with less time to the deadline.
 
-/** Ranks of one tenant priority: those of its route priorities. */
-constexpr unsigned RANKS_PER_TENANT_PRIORITY = 64;
-constexpr unsigned TENANT_PRIORITY_MAX = 1'000'000; ///< Lower priorities share one class.
-
-/** @return the rank with tenants: nested calls first, then the tenant's, then the route's priority.
- */
-unsigned tenantRankOf(const RequestAttributes &attributes)
-{
-    const unsigned routePart = std::min(attributes.route->priority, RANKS_PER_TENANT_PRIORITY - 1);
-    if (attributes.fromLocalServer)
-        return routePart;
-    return (1 + std::min(*attributes.tenantPriority, TENANT_PRIORITY_MAX))
-               * RANKS_PER_TENANT_PRIORITY
-           + routePart;
-}
-
-unsigned rankOf(const RequestAttributes &attributes)
-{
-    if (attributes.tenantPriority)
-        return tenantRankOf(attributes);
-    unsigned rank = attributes.route->priority * RANKS_PER_PRIORITY + RANK_NESTED + RANK_RETRY;
-    if (attributes.fromLocalServer)
-        rank -= RANK_NESTED;
-    return rank;
-}
-
 /** @return size of the request's body when it is large, else 0. */
 std::uint64_t largeBodyBytes(const RequestAttributes &attributes)
 {
@@ -130,6 +100,13 @@
     return bytes < BULK_BYTES_MIN ? 0 : static_cast<std::uint64_t>(bytes);
 }
 
+/** @return mean time of the route's requests at a server; 0 when none was measured. */
+Duration Dispatcher::expectedWork(const Route &route) const
+{
+    const auto found = m_routeStatistics.find(route.name);
+    return {found == m_routeStatistics.end() ? 0 : static_cast<std::int64_t>(found->second.workMs)};
+}
+
 void Dispatcher::offerToBestServer(PendingRequestId id, PendingRequest &pending, TimePoint now,
                                    DispatchActions &actions)
 {
@@ -145,14 +122,14 @@
     }
     pending.offers++;
     // The last offer accepts any wait: the refusals have brought fresh loads by then.
-    const bool acceptsAnyWait
-        = chosen->waitMaxMs < 0 || pending.offers >= m_options.offersPerAttemptMax;
+    const bool acceptsAnyWait = !m_options.boundsWaits || chosen->waitMaxMs < 0
+                                || pending.offers >= m_options.offersPerAttemptMax;
     sendOffer(id, pending, *chosen,
-              {acceptsAnyWait ? -1 : static_cast<std::int64_t>(chosen->waitMaxMs)}, actions);
+              {acceptsAnyWait ? -1 : static_cast<std::int64_t>(chosen->waitMaxMs)}, now, actions);
 }
 
 void Dispatcher::sendOffer(PendingRequestId id, PendingRequest &pending, const Candidate &chosen,
-                           Duration queueWaitMax, DispatchActions &actions)
+                           Duration queueWaitMax, TimePoint now, DispatchActions &actions)
 {
     const OfferId offer = ++m_lastOffer;
     const std::uint64_t bulkBytes = expectedBulkBytes(pending);
@@ -160,19 +137,21 @@
     pending.openOffers.push_back(
         {offer, chosen.daemon, false, bulkBytes, uploadBytes, !pending.openOffers.empty()});
     m_offers[offer] = id;
+    const Duration work{static_cast<std::int64_t>(chosen.workMs)};
+    const unsigned rank = callRank(pending.attributes, work, m_options.rank, now);
     if (Peer *peer = m_table.find(chosen.daemon)) {
         peer->callsInFlight++;
         peer->bulkBytesInFlight += bulkBytes;
         peer->uploadBytesInFlight += uploadBytes;
     }
-    actions.push_back(SendOffer{id, offer, chosen.daemon, chosen.instance,
-                                rankOf(pending.attributes), queueWaitMax});
+    actions.push_back(SendOffer{id, offer, chosen.daemon, chosen.instance, rank, queueWaitMax});
 }
 
 Duration Dispatcher::hedgeDelay(PendingRequestId id, TimePoint now) const
 {
     const auto found = m_pendingRequests.find(id);
-    if (found == m_pendingRequests.end() || !found->second.attributes.route->idempotent
+    if (!m_options.hedges || found == m_pendingRequests.end()
+        || !found->second.attributes.route->idempotent
         || found->second.attributes.route->attemptsMax < 2)
         return {0};
     const RequestAttributes &attributes = found->second.attributes;
@@ -209,7 +188,7 @@
     if (!stale && (secondWorkMs <= 0 || secondWorkMs > firstWorkMs * m_options.hedgeWorkRatioMax))
         return actions;
     if (m_budget.tryAcquire(pending.attributes.service, now))
-        sendOffer(id, pending, *chosen, {0}, actions);
+        sendOffer(id, pending, *chosen, {0}, now, actions);
     return actions;
 }
 
@@ -396,9 +375,6 @@
                                      TimePoint now, DispatchActions &actions)
 {
     const Duration timeLeft = pending.attributes.callerDeadline - now;
-    Duration advice = pending.retryAfter.ms > 0 ? pending.retryAfter : m_options.defaultRetryAfter;
-    if (timeLeft.ms > 0)
-        advice = {std::min(advice.ms, timeLeft.ms / 3)};
     if (pending.failure) {
         actions.push_back(ForwardResponse{id, *pending.failure});
         erase(id, actions);
@@ -409,9 +385,12 @@
         sendLocalReply(id, status, pending.reason, {0}, actions);
         return;
     }
+    const RefusedRequest refused{pending.retryAfter, expectedWork(*pending.attributes.route),
+                                 pending.attributes.softDeadline,
+                                 pending.attributes.callerDeadline};
     sendLocalReply(id, UNAVAILABLE,
                    pending.reason == HostReason::None ? HostReason::NoServer : pending.reason,
-                   m_random.jitter(advice), actions);
+                   m_random.jitter(retryAdvice(refused, m_options.retryAdvice, now)), actions);
 }
 
 void Dispatcher::sendLocalReply(PendingRequestId id, int status, HostReason reason,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -1,7 +1,9 @@
 /** @file dispatcher.h Offers, retries, hedges and the final answer of callers' requests. */
 #pragma once
 
+#include "dispatch/call_rank.h"
 #include "dispatch/dispatch_type.h"
+#include "dispatch/retry_advice.h"
 #include "dispatch/server_choice.h"
 #include "retry/service_retry_budget.h"
 #include "rollout/rollout_registry.h"
@@ -18,8 +20,11 @@
     double hedgeDelayWorkFactor = 2.2; ///< Least hedge delay, in mean work times of the route.
     double hedgeDelayTimeShare = 0.3;  ///< Least hedge delay, as a share of the time left.
     double hedgeWorkRatioMax = 0.8; ///< Largest work time of the second server, over the first's.
-    Duration defaultRetryAfter = {150}; ///< Advised delay when no hosting daemon gave one.
-    ChoiceOptions choice;               ///< Weights of the server choice.
+    bool hedges = true;             ///< Offer slow idempotent requests to a second server as well.
+    bool boundsWaits = true; ///< Offers name the longest wait before another server is better.
+    CallRankOptions rank;    ///< What the ranks of calls are made of.
+    RetryAdviceOptions retryAdvice; ///< Bounds of the advice to callers.
+    ChoiceOptions choice;           ///< Weights of the server choice.
 };
 
 /**
@@ -115,8 +120,9 @@
     ChoiceRequest choiceRequestOf(const PendingRequest &pending, TimePoint now) const;
     bool keepsTarget(const PendingRequest &pending, TimePoint now) const;
     std::uint64_t expectedBulkBytes(const PendingRequest &pending) const;
+    Duration expectedWork(const Route &route) const;
     void sendOffer(PendingRequestId id, PendingRequest &pending, const Candidate &chosen,
-                   Duration queueWaitMax, DispatchActions &actions);
+                   Duration queueWaitMax, TimePoint now, DispatchActions &actions);
     const OpenOffer *findOffer(OfferId offer) const;
     OpenOffer closeOffer(PendingRequest &pending, OfferId offer);
     void erase(PendingRequestId id, DispatchActions &actions);
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -236,7 +236,7 @@
     if (call.isRetry && now + total > call.softDeadline)
         call.softDeadline
             = now + m_options.lateRetryWaitMax + Duration{static_cast<std::int64_t>(processingMs)};
-    if (now + total > call.softDeadline)
+    if (m_options.refusesBySoftDeadline && now + total > call.softDeadline)
         return HostReason::Full;
     return HostReason::None;
 }
@@ -399,7 +399,8 @@
         return HostReason::TooLate;
     // An early refusal leaves the caller time to retry.
     const Duration limitWait = m_rateLimiter.waitFor(callsAhead + 1, now);
-    const bool congested = limitWait.ms > 0 || m_queue.size() * 2 > m_server.slots;
+    const bool congested = m_options.refusesBySoftDeadline
+                           && (limitWait.ms > 0 || m_queue.size() * 2 > m_server.slots);
     const Duration processing{static_cast<std::int64_t>(processingMs)};
     return congested && now + limitWait + processing > call.softDeadline ? HostReason::Full
                                                                          : HostReason::None;
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -24,7 +24,10 @@
     double initialProcessingMs = 200;  ///< Processing time, in ms, assumed until one was measured.
     Duration retryAfterMin = {60};     ///< Shortest wait that a refusal advises.
     Duration lateRetryWaitMax = {150}; ///< Longest wait of a retry that misses its soft deadline.
-    RateLimiterOptions rateLimit;      ///< How a limit that the server names is followed.
+    /** Refuse calls that would miss their soft deadline; otherwise only their deadline counts. */
+    bool refusesBySoftDeadline = true;
+    bool usesRunningAges = true;  ///< The age of running calls raises the mean processing time.
+    RateLimiterOptions rateLimit; ///< How a limit that the server names is followed.
     /** Bound the calls at a server that has started, has recovered or is slow by its answers. */
     bool pace = false;
     /** Calls that have to start within this time start beyond that bound, in a free slot. */
--- a/src/hosting/host_scheduler_load.cpp
+++ b/src/hosting/host_scheduler_load.cpp
@@ -30,7 +30,7 @@
 {
     const double baselineMs
         = m_meanProcessingMs > 0 ? m_meanProcessingMs : m_options.initialProcessingMs;
-    if (m_running.size() < AGE_SAMPLES_MIN)
+    if (!m_options.usesRunningAges || m_running.size() < AGE_SAMPLES_MIN)
         return baselineMs;
     const auto count = static_cast<double>(m_running.size());
     const double ageMs
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -262,9 +262,11 @@
     if (broken)
         m_crashSuspects.emplace_back(
             now, std::make_pair(found->second.call.fingerprint, found->second.call.route));
-    if (outcome.sentToServer)
+    if (outcome.sentToServer) {
+        m_listener.requestEnded(found->second.call.rank);
         m_listener.requestMeasured(found->second.call.route, result.finish, result.processingTime,
                                    outcome.nestedFailure);
+    }
     if (outcome.advisory)
         handleAdvisory(id, *outcome.advisory);
     HostDecisions decisions = m_scheduler.complete(id, result.finish, result.processingTime, now,
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -43,6 +43,8 @@
     virtual void bodyGranted(const CallOrigin &origin, std::uint64_t bytes) = 0;
     /** A request broke off shortly before the server went down. */
     virtual void requestSuspectedOfCrash(std::uint64_t fingerprint, const std::string &route) = 0;
+    /** The local server ended a request. @param rank Rank of the request. */
+    virtual void requestEnded(unsigned rank) { (void)rank; }
     /**
      * A request that was sent to the server ended.
      * @param route Its route.
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/fleet_type.h"
+#include "node/decision_settings.h"
 #include "retry/service_retry_budget.h"
 
 #include <string>
@@ -40,6 +41,7 @@
     std::uint64_t linkBytesPerSecond = 0;  ///< Rate of the VM's network link; 0 when unknown.
     bool pace
         = false; ///< The answers of the local server bound its calls after a start or recovery.
+    DecisionSettings decisions;    ///< Mechanisms in use.
     RevocationSettings revocation; ///< Bound for revoked keys.
     bool rollouts = false;         ///< The daemon carries out roll-outs.
     Duration grace = seconds(6);   ///< Longest time from SIGTERM to the exit of the process.
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -19,12 +19,7 @@
 constexpr Duration ROUTES_READ_TIMEOUT{1200};
 /** A watch times out this long after the wait that it asks the store for. */
 constexpr Duration WATCH_TIMEOUT_MARGIN{1500};
-/** Callers are assumed to know of a shutdown this long after its start. */
-constexpr Duration SHUTDOWN_NOTICE_TIME{2300};
-constexpr Duration QUIET_TIME{300};    ///< A shutdown ends after this time without a request.
-constexpr Duration GRACE_RESERVE{500}; ///< Part of the grace kept for the last responses.
-/** Number of denied readiness checks after which the platform sends no more callers. */
-constexpr unsigned MIN_NOT_READY_REPLIES = 2;
+constexpr Duration QUIET_TIME{300};     ///< A shutdown ends after this time without a request.
 constexpr unsigned CRASH_THRESHOLD = 3; ///< Crashes after which a request is quarantined.
 
 QuarantineOptions quarantineOptions()
@@ -46,6 +41,32 @@
 {
     HostSchedulerOptions options;
     options.pace = settings.pace;
+    options.refusesBySoftDeadline = settings.decisions.softDeadlines;
+    options.usesRunningAges = settings.decisions.runningAges;
+    return options;
+}
+
+DispatchOptions dispatchOptions(const DecisionSettings &decisions)
+{
+    DispatchOptions options;
+    options.hedges = decisions.hedges;
+    options.boundsWaits = decisions.waitBounds;
+    options.rank.lateLast = decisions.lateLast;
+    options.retryAdvice.lateAdvice = decisions.lateAdvice;
+    options.rank.nestedRanks = decisions.nestedRanks;
+    if (!decisions.failureShares)
+        options.choice.failureLoss = 0;
+    if (!decisions.coldStarts)
+        options.choice.coldSlowdownFactor = 1;
+    if (!decisions.transferCosts)
+        options.choice.otherDataCentreLossPerKb = 0;
+    return options;
+}
+
+NestedRoutesOptions nestedRoutesOptions(const DecisionSettings &decisions)
+{
+    NestedRoutesOptions options;
+    options.enabled = decisions.nestedRoutes;
     return options;
 }
 
@@ -79,8 +100,10 @@
                   hostOptions(m_settings))
     , m_startupReports(StartupReportsOptions(), loop.now())
     , m_dispatcher(
-          m_peers, m_budget, [this] { return m_shuttingDown ? HostLoad() : m_hostCalls.load(); },
-          DispatchOptions(), seedOf(m_settings))
+          m_peers, m_budget,
+          [this] { return m_shutdown.hasBegun() ? HostLoad() : m_hostCalls.load(); },
+          dispatchOptions(m_settings.decisions), seedOf(m_settings))
+    , m_nestedRoutes(nestedRoutesOptions(m_settings.decisions))
     , m_replicator(m_peers, ReplicationOptions(), seedOf(m_settings) + 1)
     , m_pingRandom(seedOf(m_settings) + 3)
     , m_discovery(m_peers, DiscoveryOptions(), seedOf(m_settings) + 2)
@@ -207,7 +230,7 @@
     updateQuotaFleet();
     tickRollouts();
     checkSettingsFile(now);
-    if (m_shuttingDown)
+    if (m_shutdown.hasBegun())
         checkShutdown();
     m_log.flush();
     m_loop.after(TICK_INTERVAL, [this] { tick(); });
@@ -215,23 +238,15 @@
 
 void ProxyNode::beginShutdown()
 {
-    if (m_shuttingDown)
+    if (m_shutdown.hasBegun())
         return;
-    m_shuttingDown = true;
-    m_shutdownStartedAt = m_loop.now();
-    m_lastRequestAt = m_shutdownStartedAt;
+    m_shutdown.begin(m_loop.now());
+    m_lastRequestAt = m_loop.now();
     logLifecycleEvent("leaving");
     m_hostCalls.beginShutdown();
     m_links.announceState();
 }
 
-bool ProxyNode::stopsBefore(TimePoint deadline) const
-{
-    if (!m_shuttingDown || m_loop.now() - m_shutdownStartedAt < SHUTDOWN_NOTICE_TIME)
-        return false;
-    return deadline > m_shutdownStartedAt + m_settings.grace - GRACE_RESERVE;
-}
-
 /** @return true when no request is received in part, in progress or answered in part. */
 bool ProxyNode::isQuiet() const
 {
@@ -249,11 +264,8 @@
 void ProxyNode::checkShutdown()
 {
     const TimePoint now = m_loop.now();
-    const Duration elapsed = now - m_shutdownStartedAt;
-    const bool graceOver = elapsed >= m_settings.grace - GRACE_RESERVE;
-    const bool callersKnow
-        = elapsed >= SHUTDOWN_NOTICE_TIME || m_notReadyReplies >= MIN_NOT_READY_REPLIES;
-    if (!graceOver && !(callersKnow && isQuiet()))
+    const bool isDone = m_shutdown.callersKnow(m_settings.grace, now) && isQuiet();
+    if (!isDone && !m_shutdown.isOver(m_settings.grace, now))
         return;
     endTokenWaits();
     perform(m_dispatcher.endAll());
@@ -269,9 +281,9 @@
         response.status = 404;
         return response;
     }
-    const bool ready = m_replicator.version() != 0 && !m_shuttingDown && !awaitsFirstConfirmation();
-    if (m_shuttingDown)
-        m_notReadyReplies++;
+    const bool ready
+        = m_replicator.version() != 0 && !m_shutdown.hasBegun() && !awaitsFirstConfirmation();
+    m_shutdown.recordNotReady();
     response.status = ready ? 200 : 503;
     return response;
 }
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "callgraph/nested_routes.h"
 #include "dispatch/dispatcher.h"
 #include "fleet/peer_discovery.h"
 #include "hosting/startup_reports.h"
@@ -20,6 +21,7 @@
 #include "node/quota_parts.h"
 #include "node/recent_refusals.h"
 #include "node/settings_change.h"
+#include "node/shutdown_schedule.h"
 #include "node/store_client.h"
 #include "replication/confirmation_renewal.h"
 #include "replication/route_replicator.h"
@@ -69,9 +71,10 @@
         std::shared_ptr<const std::string> largeBody;
         std::string requestId;
         std::string route;
-        bool fromLocalServer = false;  ///< The local server is the caller.
-        std::uint64_t fingerprint = 0; ///< Hash of the request; 0 when no route matches.
-        TimePoint softDeadline{0};     ///< Soft deadline of the first attempt.
+        bool fromServerAddress = false; ///< It came from the address of the local server.
+        bool fromLocalServer = false;   ///< The local server is the caller.
+        std::uint64_t fingerprint = 0;  ///< Hash of the request; 0 when no route matches.
+        TimePoint softDeadline{0};      ///< Soft deadline of the first attempt.
         TimePoint startedAt{0};
         TimerId timer = 0;
         TimerId hedgeTimer = 0;
@@ -86,7 +89,7 @@
 
     // Requests of callers.
     TrafficLimits limits() const override;
-    bool shouldCloseConnections() const override { return m_shuttingDown; }
+    bool shouldCloseConnections() const override { return m_shutdown.hasBegun(); }
     bool mayRunConcurrently(const HttpRequest &request) const override;
     BulkWriter *bulkWriter() override { return &m_bulk; }
     PendingRequestId newRequestId() override { return ++m_lastRequestId; }
@@ -139,6 +142,7 @@
     void serverStateChanged() override;
     void requestSuspectedOfCrash(std::uint64_t fingerprint, const std::string &route) override;
     void bodyGranted(const CallOrigin &origin, std::uint64_t bytes) override;
+    void requestEnded(unsigned rank) override { m_nestedRoutes.recordEnd(rank, m_loop.now()); }
     void requestMeasured(const std::string &route, HostFinish finish, Duration time,
                          bool nestedFailure) override;
     HttpResponse handleServerNotice(const HttpRequest &request);
@@ -220,9 +224,6 @@
     void releaseStartupReport();
     void checkShutdown();
     bool isQuiet() const;
-    /** @return true when the process may stop before @p deadline, so that a request with this
-     * deadline is not accepted. */
-    bool stopsBefore(TimePoint deadline) const;
     void logLifecycleEvent(const char *event);
     void reportTransfers();
 
@@ -242,6 +243,7 @@
     HostCallExecutor m_hostCalls;
     StartupReports m_startupReports;
     Dispatcher m_dispatcher;
+    NestedRoutes m_nestedRoutes;
     StoreEra m_storeEra;
     RouteReplicator m_replicator;
     VersionConfirmation m_confirmation;
@@ -268,11 +270,8 @@
     std::unordered_map<PendingRequestId, PendingRequest> m_pendingRequests;
     PendingRequestId m_lastRequestId = 0;
     std::uint64_t m_crashSequence = 0;
-    bool m_shuttingDown = false;
-    TimePoint m_shutdownStartedAt{0};
+    ShutdownSchedule m_shutdown;
     TimePoint m_lastRequestAt{0};
-    /** Readiness checks denied since the shutdown started. */
-    unsigned m_notReadyReplies = 0;
 };
 
 /** Parses an answer of the store; one of an earlier era is an error, since it may be outdated. */
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -124,7 +124,8 @@
         = now + (route.latencyTarget.ms > 0 ? route.latencyTarget : route.timeout);
     attributes.fromLocalServer = session.isFromLocalServer();
     attributes.bodyBytes = request.body.size();
-    if (const auto softDeadline = m_recentRefusals.take(attributes.fingerprint, now)) {
+    const auto softDeadline = m_recentRefusals.take(attributes.fingerprint, now);
+    if (softDeadline && m_settings.decisions.lateRetries) {
         attributes.isRetry = true;
         attributes.softDeadline = *softDeadline;
     }
@@ -139,7 +140,8 @@
     const HttpRequest &request = incoming.request;
     PendingRequest &pending = m_pendingRequests[id];
     pending.session = session.shared_from_this();
-    pending.fromLocalServer = session.isFromLocalServer();
+    pending.fromServerAddress = session.isFromLocalServer();
+    pending.fromLocalServer = pending.fromServerAddress;
     pending.requestId = std::string(request.headers.get(m_adapter.callFields().requestId));
     pending.startedAt = now;
     if (!table) {
@@ -159,8 +161,12 @@
     }
     if (!admitCredential(id, pending, *table, *route, request))
         return;
+    // Without tenants nothing in a request tells whether the server or a caller on its VM sent it.
+    if (!table->hasTenants() && !m_nestedRoutes.isNested(route->name))
+        pending.fromLocalServer = false;
     RequestAttributes attributes = attributesOf(session, request, *route);
     attributes.fromLocalServer = pending.fromLocalServer;
+    attributes.callerRank = m_nestedRoutes.callerRank(route->name);
     attributes.tenant = pending.tenant;
     attributes.tenantPriority = pending.tenantPriority;
     pending.fingerprint = attributes.fingerprint;
@@ -169,7 +175,7 @@
         sendLocalReply({id, SERVICE_UNAVAILABLE, HostReason::Quarantined, seconds(1)});
         return;
     }
-    if (stopsBefore(attributes.deadline)) {
+    if (!m_shutdown.accepts(attributes.deadline, m_settings.grace, now)) {
         sendLocalReply({id, SERVICE_UNAVAILABLE, HostReason::DaemonLeaving, SHUTDOWN_RETRY_AFTER});
         return;
     }
@@ -398,6 +404,8 @@
     m_loop.cancel(found->second.hedgeTimer);
     const PendingRequest pending = std::move(found->second);
     m_pendingRequests.erase(found);
+    if (pending.fromServerAddress && !pending.route.empty())
+        m_nestedRoutes.recordAnswer(pending.route, m_loop.now());
     if (pending.fromLocalServer && response.status >= SERVER_ERROR)
         m_hostCalls.recordNestedFailure();
     const std::int64_t elapsedMs = (m_loop.now() - pending.startedAt).ms;
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -88,7 +88,7 @@
     state.load = m_hostCalls.load();
     state.version = m_replicator.version();
     state.storeAge = m_replicator.storeAge(m_loop.now());
-    state.shuttingDown = m_shuttingDown;
+    state.shuttingDown = m_shutdown.hasBegun();
     state.watchingStore = m_replicator.isWatching();
     state.storeEra = m_storeEra.current();
     state.readsPings = m_settings.revocation.strict;
--- a/src/node/proxy_node_rollouts.cpp
+++ b/src/node/proxy_node_rollouts.cpp
@@ -53,7 +53,7 @@
 {
     m_rollouts = std::make_unique<NodeRollouts>(
         m_loop, m_settings.store, m_peers,
-        [this] { return m_shuttingDown ? HostLoad() : m_hostCalls.load(); }, seed);
+        [this] { return m_shutdown.hasBegun() ? HostLoad() : m_hostCalls.load(); }, seed);
     m_dispatcher.setRollouts(&m_rollouts->registry);
 }
 
@@ -68,8 +68,9 @@
                                           m_rollouts->evidence.evidence(), now);
     m_rollouts->registry.tick(now);
     evaluateRollouts();
-    if (const auto action = m_rollouts->watch.tick(m_replicator.isWatching() && !m_shuttingDown,
-                                                   m_rollouts->registry.anyActive(), now))
+    if (const auto action
+        = m_rollouts->watch.tick(m_replicator.isWatching() && !m_shutdown.hasBegun(),
+                                 m_rollouts->registry.anyActive(), now))
         std::visit([this](const auto &one) { perform(one); }, *action);
     announceRollouts();
     setRolloutGauges();
@@ -121,8 +122,8 @@
 
 void ProxyNode::evaluateRollouts()
 {
-    const auto actions = m_rollouts->evaluator.tick(m_replicator.isWatching() && !m_shuttingDown,
-                                                    m_storeEra.current(), m_loop.now());
+    const auto actions = m_rollouts->evaluator.tick(
+        m_replicator.isWatching() && !m_shutdown.hasBegun(), m_storeEra.current(), m_loop.now());
     for (const EvaluatorAction &action : actions)
         std::visit([this](const auto &one) { perform(one); }, action);
     for (const StoredRollout &refused : m_rollouts->watch.takeRefused()) {
--- a/src/node/settings_change.cpp
+++ b/src/node/settings_change.cpp
@@ -49,6 +49,8 @@
         change.restartRequired.emplace_back("rollouts");
     if (!(current.server == updated.server))
         change.restartRequired.emplace_back("server");
+    if (!(current.decisions == updated.decisions))
+        change.restartRequired.emplace_back("decisions");
     if (current.pace != updated.pace)
         change.restartRequired.emplace_back("pace");
     return change;
