--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -142,6 +142,8 @@
             HttpService::listen(m_loop, m_settings.listen.metrics, [this](const HttpRequest &) {
                 HttpResponse response;
                 updateQuotaMetrics();
+                m_metrics.set("nested_routes", "",
+                              static_cast<double>(m_nestedRoutes.nestedCount()));
                 m_metrics.set("server_limit_per_second", "", m_hostCalls.load().requestsPerSecond);
                 reportTransfers();
                 m_metrics.set("server_concurrency_bound", "", m_hostCalls.load().slots);
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -419,6 +419,7 @@
             fields.add("tenant", pending.tenant);
         fields.add("daemon", pending.lastDaemon.text());
         fields.add("offers", std::uint64_t{pending.offers});
+        fields.add("nested", std::int64_t{pending.fromLocalServer ? 1 : 0});
         fields.add("took_ms", elapsedMs);
         fields.add("version", m_replicator.version());
     });
