Fix: node: a connection to the server outlives the callback of its own request

Ruled out: the release of connections that end by themselves, they are kept until the next turn of the loop. Change: the reader of a connection holds it.

--- a/src/node/server_connection_pool.cpp
+++ b/src/node/server_connection_pool.cpp
@@ -136,6 +136,8 @@
 
     void received(std::string_view bytes) override
     {
+        // The callback of a finished request may send the next one, which may drop this connection.
+        const auto self = shared_from_this();
         m_pool.m_lastActivity = m_pool.m_loop.now();
         if (current.id == 0) {
             // The server sent bytes without a request; later bytes cannot be trusted either.
