Feature: node, dispatch: retries are told from first attempts after a failure of the server as well

Change: idempotent requests that end with a 5xx are remembered like refused ones, by the same hash; what the dispatcher sends again itself after a failure counts as a retry too. RecentRefusals is RecentFailures; switch `failed-retries`. The paths of requests are unique to a request, so the hash does not mix callers up. Tests: the renamed test of the lookup keeps its checks; the repeat's rank is tested at both sides of the soft deadline.

--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -30,9 +30,9 @@
     TimePoint softDeadline;       ///< A later answer is worth less; a retry keeps the first value.
     bool fromLocalServer = false; ///< The local server made the request, as a nested call.
     std::optional<unsigned> callerRank; ///< Rank of the requests that make such nested calls.
-    bool isRetry = false;      ///< This daemon refused it before with 503; the caller retries.
-    std::size_t bodyBytes = 0; ///< Size of the request's body.
-    std::string tenant;        ///< Name of the tenant whose key the request has; may be empty.
+    bool isRetry = false;               ///< An earlier attempt was refused or has failed.
+    std::size_t bodyBytes = 0;          ///< Size of the request's body.
+    std::string tenant; ///< Name of the tenant whose key the request has; may be empty.
     std::optional<unsigned>
         tenantPriority; ///< Goes before the route's; empty when no tenants are in force.
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -349,6 +349,7 @@
         && takeFailureRetry(pending, outcome, now)) {
         pending.offers = 0;
         pending.mayHaveRun = true;
+        pending.attributes.isRetry = pending.attributes.isRetry || m_options.failedRetries;
         if (answered)
             pending.failure = outcome.response;
         offerToBestServer(id, pending, now, actions);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -21,8 +21,9 @@
     double hedgeDelayTimeShare = 0.3;  ///< Least hedge delay, as a share of the time left.
     double hedgeWorkRatioMax = 0.8; ///< Largest work time of the second server, over the first's.
     bool hedges = true;             ///< Offer slow idempotent requests to a second server as well.
-    bool boundsWaits = true; ///< Offers name the longest wait before another server is better.
-    CallRankOptions rank;    ///< What the ranks of calls are made of.
+    bool boundsWaits = true;   ///< Offers name the longest wait before another server is better.
+    bool failedRetries = true; ///< What is sent again after a failure counts as a retry.
+    CallRankOptions rank;      ///< What the ranks of calls are made of.
     RetryAdviceOptions retryAdvice; ///< Bounds of the advice to callers.
     ChoiceOptions choice;           ///< Weights of the server choice.
 };
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -325,6 +325,26 @@
     CHECK(retries <= 62);
 }
 
+// Guards against a called service that has lost servers: requests sent again after a failed nested
+// call, which could only be late, took the places of first attempts.
+TEST_CASE("what is sent again after a failure goes behind first attempts once it is late",
+          "[dispatch]")
+{
+    for (const bool late : {false, true}) {
+        Fixture fixture;
+        fixture.addPeer("a");
+        fixture.addPeer("b");
+        const SendOffer first = only<SendOffer>(fixture.begin());
+        HostOutcome failed = makeOutcome(RunState::Answered, HostReason::None, true, 500);
+        failed.nestedFailure = true;
+        const TimePoint now = NOW + Duration{late ? 501 : 100};
+        const SendOffer again
+            = only<SendOffer>(fixture.dispatcher.offerEnded(first.offer, failed, now));
+        CHECK(fixture.dispatcher.attributes(again.request)->isRetry);
+        CHECK((again.rank > first.rank) == late);
+    }
+}
+
 TEST_CASE("when the caller disconnects or the deadline passes, the offer is cancelled at once",
           "[dispatch]")
 {
--- a/src/hosting/hosting_type.h
+++ b/src/hosting/hosting_type.h
@@ -78,7 +78,7 @@
     TimePoint deadline;          ///< The caller discards an answer after this time.
     TimePoint softDeadline;      ///< An answer after this time is worth less to the caller.
     std::string instance;        ///< Server instance that the sender chose; empty accepts any.
-    bool isRetry = false;        ///< The caller retries a request that was refused before.
+    bool isRetry = false;        ///< An earlier attempt was refused or has failed.
     bool overLink = false;       ///< The answer leaves over the VM's network link.
     std::uint64_t bulkBytes = 0; ///< Expected size of a large answer over the link, else 0.
     TimePoint started{0};        ///< When the call was passed to the server.
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -65,7 +65,7 @@
     Duration deadlineLeft;         ///< Time until the deadline.
     Duration softDeadlineLeft;     ///< Time until the soft deadline; negative when it has passed.
     bool idempotent = false;       ///< The request may run more than once.
-    bool isRetry = false;          ///< The caller retries a request that was refused before.
+    bool isRetry = false;          ///< An earlier attempt was refused or has failed.
     std::uint64_t fingerprint = 0; ///< Hash of the request; equal for retries of the request.
     bool overLink = true;          ///< Another daemon sent it; not on the wire.
     bool otherDataCentre = false;  ///< That daemon is in another data centre; not on the wire.
--- a/src/node/decision_settings.h
+++ b/src/node/decision_settings.h
@@ -10,6 +10,7 @@
     bool hedges = true;        ///< A slow idempotent call goes to a second, faster server as well.
     bool waitBounds = true;    ///< A daemon refuses a call that would wait less elsewhere.
     bool lateRetries = true;   ///< A caller's retry keeps the soft deadline of its first attempt.
+    bool failedRetries = true; ///< A retry is told from a first attempt after a failure as well.
     bool lateLast = true;      ///< A retry that can only be late goes behind calls of its rank.
     bool lateAdvice = true;    ///< A retry that can only be late is advised to come much later.
     bool softDeadlines = true; ///< Calls that would miss their soft deadline are refused at once.
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -51,6 +51,7 @@
     DispatchOptions options;
     options.hedges = decisions.hedges;
     options.boundsWaits = decisions.waitBounds;
+    options.failedRetries = decisions.failedRetries;
     options.rank.lateLast = decisions.lateLast;
     options.retryAdvice.lateAdvice = decisions.lateAdvice;
     options.rank.nestedRanks = decisions.nestedRanks;
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -19,7 +19,7 @@
 #include "node/peer_links.h"
 #include "node/platform_adapter.h"
 #include "node/quota_parts.h"
-#include "node/recent_refusals.h"
+#include "node/recent_failures.h"
 #include "node/settings_change.h"
 #include "node/shutdown_schedule.h"
 #include "node/store_client.h"
@@ -75,6 +75,8 @@
         bool fromLocalServer = false;   ///< The local server is the caller.
         std::uint64_t fingerprint = 0;  ///< Hash of the request; 0 when no route matches.
         TimePoint softDeadline{0};      ///< Soft deadline of the first attempt.
+        bool idempotent = false;        ///< It may run more than once.
+        bool quarantined = false;       ///< It is refused because it crashes servers.
         TimePoint startedAt{0};
         TimerId timer = 0;
         TimerId hedgeTimer = 0;
@@ -238,7 +240,7 @@
     ServiceRetryBudget m_budget;
     Quarantine m_quarantine;
     std::set<std::uint64_t> m_quarantined;
-    RecentRefusals m_recentRefusals;
+    RecentFailures m_recentFailures;
     BulkWriter m_bulk;
     HostCallExecutor m_hostCalls;
     StartupReports m_startupReports;
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -27,8 +27,8 @@
 /** Time until the next attempt to hedge, when no second server had room. */
 constexpr Duration HEDGE_RETRY_INTERVAL{120};
 constexpr unsigned MAX_HEDGE_ATTEMPTS = 4; ///< Per request.
-/** Retries of a refused request are recognized for this long. */
-constexpr Duration REFUSAL_LIFETIME{3000};
+/** Retries of a request that was refused or failed are recognized for this long. */
+constexpr Duration FAILURE_LIFETIME{3000};
 
 /** @return the time left in a header field in milliseconds; @p fallback when it is not a number or
  * negative. */
@@ -124,7 +124,7 @@
         = now + (route.latencyTarget.ms > 0 ? route.latencyTarget : route.timeout);
     attributes.fromLocalServer = session.isFromLocalServer();
     attributes.bodyBytes = request.body.size();
-    const auto softDeadline = m_recentRefusals.take(attributes.fingerprint, now);
+    const auto softDeadline = m_recentFailures.take(attributes.fingerprint, now);
     if (softDeadline && m_settings.decisions.lateRetries) {
         attributes.isRetry = true;
         attributes.softDeadline = *softDeadline;
@@ -171,6 +171,7 @@
     attributes.tenantPriority = pending.tenantPriority;
     pending.fingerprint = attributes.fingerprint;
     pending.softDeadline = attributes.softDeadline;
+    pending.idempotent = route->idempotent;
     if (m_quarantined.count(attributes.fingerprint) != 0) {
         sendLocalReply({id, SERVICE_UNAVAILABLE, HostReason::Quarantined, seconds(1)});
         return;
@@ -387,11 +388,7 @@
     });
     if (response.status == SERVICE_UNAVAILABLE)
         giveTokenBack(found->second);
-    const bool mayBeRetried
-        = response.status == SERVICE_UNAVAILABLE && reply.reason != HostReason::Quarantined;
-    if (mayBeRetried && found->second.fingerprint != 0)
-        m_recentRefusals.add(found->second.fingerprint, found->second.softDeadline,
-                             m_loop.now() + REFUSAL_LIFETIME);
+    found->second.quarantined = reply.reason == HostReason::Quarantined;
     sendResponse(reply.request, response);
 }
 
@@ -408,6 +405,11 @@
         m_nestedRoutes.recordAnswer(pending.route, m_loop.now());
     if (pending.fromLocalServer && response.status >= SERVER_ERROR)
         m_hostCalls.recordNestedFailure();
+    if (pending.fingerprint != 0 && !pending.quarantined
+        && isRetryExpected(response.status,
+                           pending.idempotent && m_settings.decisions.failedRetries))
+        m_recentFailures.add(pending.fingerprint, pending.softDeadline,
+                             m_loop.now() + FAILURE_LIFETIME);
     const std::int64_t elapsedMs = (m_loop.now() - pending.startedAt).ms;
     m_metrics.count("calls_total", "status=\"" + std::to_string(response.status) + "\"");
     m_metrics.sample("call_ms", "", static_cast<double>(elapsedMs));
--- a/src/node/table/decision_switches.h
+++ b/src/node/table/decision_switches.h
@@ -11,6 +11,8 @@
      "a daemon refuses a call that would wait less elsewhere"},
     {"late-retries", &DecisionSettings::lateRetries,
      "a caller's retry keeps the soft deadline of its first attempt"},
+    {"failed-retries", &DecisionSettings::failedRetries,
+     "a retry is told from a first attempt after a failure of the server as well"},
     {"late-last", &DecisionSettings::lateLast,
      "a retry that can only be late goes behind the calls of its rank"},
     {"late-advice", &DecisionSettings::lateAdvice,
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -5,7 +5,7 @@
 #include "node/caller_session.h"
 #include "node/paced_output.h"
 #include "node/peer_links.h"
-#include "node/recent_refusals.h"
+#include "node/recent_failures.h"
 #include "node/server_connection_pool.h"
 #include "node/settings_change.h"
 
@@ -178,16 +178,33 @@
     CHECK(classify(malformed).state == RunState::Answered);
 }
 
-TEST_CASE("retries of a refused request are recognized for a while, once per refusal", "[node]")
+TEST_CASE("retries of a request without success are recognized for a while, once each", "[node]")
 {
-    RecentRefusals refusals;
-    refusals.add(1, {500}, {3000});
-    refusals.add(1, {900}, {3000});
-    CHECK(refusals.take(1, {1000})->ms == 500);
-    CHECK(refusals.take(1, {1000}).has_value());
-    CHECK_FALSE(refusals.take(1, {1000}).has_value());
-    refusals.add(2, {500}, {3000});
-    CHECK_FALSE(refusals.take(2, {3000}).has_value());
+    RecentFailures failures;
+    failures.add(1, {500}, {3000});
+    failures.add(1, {900}, {3000});
+    CHECK(failures.take(1, {1000})->ms == 500);
+    CHECK(failures.take(1, {1000}).has_value());
+    CHECK_FALSE(failures.take(1, {1000}).has_value());
+    failures.add(2, {500}, {3000});
+    CHECK_FALSE(failures.take(2, {3000}).has_value());
+}
+
+// Guards against retries after a failed nested call that pass for first attempts: they took the
+// places of requests that could be in time.
+TEST_CASE("a retry is expected after a refusal, and after a failure of what may run again",
+          "[node]")
+{
+    CHECK(isRetryExpected(503, true));
+    CHECK(isRetryExpected(503, false));
+    for (const int status : {500, 502, 504}) {
+        CHECK(isRetryExpected(status, true));
+        CHECK_FALSE(isRetryExpected(status, false));
+    }
+    for (const int status : {200, 404, 429}) {
+        CHECK_FALSE(isRetryExpected(status, true));
+        CHECK_FALSE(isRetryExpected(status, false));
+    }
 }
 
 TEST_CASE("a hello for another daemon does not close the link that is up", "[node]")
