Fix: replication, node: a watch that the store has lost no longer keeps versions from the fleet

Ruled out: load alone (reproduced on an idle machine by the order of events), the stand-in (it drops what comes while silent, as the platform's pages say a store may). Change: a version that a peer sends has to be reported by the open watch within 600 ms, else the watch is ended like one whose connection broke and the daemon polls; log event watch_abandoned.

--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -384,6 +384,14 @@
                        });
 }
 
+void ProxyNode::perform(const AbandonWatch &action)
+{
+    (void)action;
+    m_log.logStateChange("watch_abandoned",
+                         [&](LogFields &fields) { fields.add("version", m_replicator.version()); });
+    m_watchClient.abandonCall();
+}
+
 void ProxyNode::perform(const ApplyRoutes &action)
 {
     m_confirmation.handleApplied(action.table->version());
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -174,6 +174,7 @@
     void perform(const ReplicationActions &actions);
     void perform(const ReadRoutes &action);
     void perform(const WatchRoutes &action);
+    void perform(const AbandonWatch &action);
     void perform(const ApplyRoutes &action);
     void perform(const AnnounceVersion &action);
     void perform(const PushRoutes &action);
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -46,19 +46,32 @@
 {
     if (m_queue.empty())
         return;
-    m_timeoutTimer = m_loop.after(m_queue.front().timeout, [this] {
+    startTimeout(m_queue.front().timeout);
+    m_requestSent = false;
+    if (!m_connection || !m_connection->isOpen()) {
+        m_connection = TcpConnection::open(m_loop, m_address, CONNECT_TIMEOUT, *this, m_fromIp);
+        return;
+    }
+    connected();
+}
+
+void StoreClient::startTimeout(Duration timeout)
+{
+    m_timeoutTimer = m_loop.after(timeout, [this] {
         m_timeoutTimer = 0;
         closeConnection();
         completeCall(
             fail(m_requestSent ? ResultCode::PlatformUnknown : ResultCode::PlatformNotExecuted,
                  "the store did not respond in time", formatEndpoint(m_address)));
     });
-    m_requestSent = false;
-    if (!m_connection || !m_connection->isOpen()) {
-        m_connection = TcpConnection::open(m_loop, m_address, CONNECT_TIMEOUT, *this, m_fromIp);
+}
+
+void StoreClient::abandonCall()
+{
+    if (m_queue.empty() || m_timeoutTimer == 0)
         return;
-    }
-    connected();
+    m_loop.cancel(m_timeoutTimer);
+    startTimeout({0});
 }
 
 void StoreClient::connected()
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -36,6 +36,8 @@
      * @param callback Receives the result; never called before this returns.
      */
     void call(HttpRequest request, Duration timeout, Callback callback);
+    /** Ends the call in progress as if its timeout had expired; its callback is called later. */
+    void abandonCall();
     /** @return number of requests sent since the start. */
     std::uint64_t calls() const { return m_requestsSent; }
 
@@ -52,6 +54,7 @@
     void received(std::string_view bytes) override;
     void disconnected(DisconnectReason reason) override;
     void startNextCall();
+    void startTimeout(Duration timeout);
     void completeCall(const Result<HttpResponse> &result);
     void closeConnection();
 
--- a/src/replication/replication_type.h
+++ b/src/replication/replication_type.h
@@ -33,6 +33,9 @@
     std::uint64_t storeRevision = 0; ///< Last store revision that this daemon has seen.
     Duration timeout;                ///< Longest time that the store may wait for a change.
 };
+/** End the open watch like one whose connection broke; the failure goes to handleWatchAnswer. */
+struct AbandonWatch
+{};
 /** A new version is in force; the replicator uses it already. */
 struct ApplyRoutes
 {
@@ -71,8 +74,8 @@
 };
 /** An action that the caller of RouteReplicator carries out. */
 using ReplicationAction
-    = std::variant<ReadRoutes, WatchRoutes, ApplyRoutes, AnnounceVersion, PushRoutes, RequestRoutes,
-                   RejectRoutes, StoreAvailabilityChanged>;
+    = std::variant<ReadRoutes, WatchRoutes, AbandonWatch, ApplyRoutes, AnnounceVersion, PushRoutes,
+                   RequestRoutes, RejectRoutes, StoreAvailabilityChanged>;
 using ReplicationActions = std::vector<ReplicationAction>;
 
 /**
@@ -90,6 +93,11 @@
     Duration watchTimeout = {4000};
     /** A peer counts as a watcher while its last answer from the store is younger than this. */
     Duration freshStoreAge = {5200};
+    /**
+     * How long an open watch may take to report a version that a peer has sent: longer than an
+     * answer of a slow store, and short of the time in which a change has to be in force.
+     */
+    Duration watchReportTimeout = {600};
     /** Delay between a change and the next watch; changes within it arrive as one. */
     Duration watchDelayAfterChange = {350};
     /**
--- a/src/replication/route_replicator.cpp
+++ b/src/replication/route_replicator.cpp
@@ -33,9 +33,16 @@
     return m_storeEverAnswered && m_storeAvailable ? now - m_lastStoreAnswerAt : NO_ANSWER_AGE;
 }
 
-void RouteReplicator::handleStoreAnswer(TimePoint now, ReplicationActions &actions)
+void RouteReplicator::handleStoreCallEnded()
 {
     m_storeCallPending = false;
+    m_watchPending = false;
+    m_watchDueAt = NEVER;
+}
+
+void RouteReplicator::handleStoreAnswer(TimePoint now, ReplicationActions &actions)
+{
+    handleStoreCallEnded();
     m_retryDelay = {0};
     m_lastStoreAnswerAt = now;
     m_storeEverAnswered = true;
@@ -47,7 +54,7 @@
 void RouteReplicator::handleStoreFailure(const Error &error, TimePoint now,
                                          ReplicationActions &actions)
 {
-    m_storeCallPending = false;
+    handleStoreCallEnded();
     m_retryDelay
         = {std::clamp(m_retryDelay.ms * 2, m_options.retryDelayMin.ms, m_options.retryDelayMax.ms)};
     m_nextStoreCallAt = now + m_random.jitter(m_retryDelay);
@@ -163,6 +170,8 @@
     while (m_recentTables.size() > (m_watching ? RECENT_TABLES_WATCHER : RECENT_TABLES_OTHER))
         m_recentTables.pop_front();
     m_table = table;
+    if (m_watchPending && !sender.empty() && m_watchDueAt == NEVER)
+        m_watchDueAt = now + m_options.watchReportTimeout;
     m_pushAt.clear();
     m_outdated = false;
     actions.push_back(ApplyRoutes{m_table, sender.empty() ? "store" : sender.text()});
@@ -242,6 +251,7 @@
     ReplicationActions actions;
     pushToOutdatedPeers(now, actions);
     catchUp(now, actions);
+    abandonDeadWatch(now, actions);
     m_watching = shouldWatch(now);
     if (m_storeCallPending || now < m_nextStoreCallAt)
         return actions;
@@ -250,11 +260,24 @@
         actions.push_back(ReadRoutes{});
     } else if (m_watching) {
         m_storeCallPending = true;
+        m_watchPending = true;
         actions.push_back(WatchRoutes{m_storeRevision, m_options.watchTimeout});
     }
     return actions;
 }
 
+/**
+ * Ends a watch that does not report a version that a peer has: a store that was silent for a moment
+ * may have lost the watch, and would report later versions to others only.
+ */
+void RouteReplicator::abandonDeadWatch(TimePoint now, ReplicationActions &actions)
+{
+    if (!m_watchPending || now < m_watchDueAt)
+        return;
+    m_watchDueAt = NEVER;
+    actions.push_back(AbandonWatch{});
+}
+
 /**
  * Obtains a newer version that a peer reported: waits for a push, then reads the store, then
  * requests it from a peer.
--- a/src/replication/route_replicator.h
+++ b/src/replication/route_replicator.h
@@ -85,6 +85,8 @@
     std::optional<ServerId> pickNewerPeer();
     void handleStoreAnswer(TimePoint now, ReplicationActions &actions);
     void handleStoreFailure(const Error &error, TimePoint now, ReplicationActions &actions);
+    void handleStoreCallEnded();
+    void abandonDeadWatch(TimePoint now, ReplicationActions &actions);
     bool shouldWatch(TimePoint now) const;
     void pushToOutdatedPeers(TimePoint now, ReplicationActions &actions);
     Duration pushDelay(const Peer &peer, TimePoint now);
@@ -98,6 +100,8 @@
     bool m_readNeeded = true;
     bool m_revisionOutdated = false; ///< m_storeRevision is of an earlier era of the store.
     bool m_storeCallPending = false;
+    bool m_watchPending = false;   ///< The pending call is a watch.
+    TimePoint m_watchDueAt{NEVER}; ///< When the pending watch should have reported the version.
     bool m_watching = false;
     bool m_storeAvailable = true;
     Duration m_retryDelay{0};
--- a/src/replication/tests/confirmation_fleet.h
+++ b/src/replication/tests/confirmation_fleet.h
@@ -344,6 +344,8 @@
             = std::min(action.timeout, confirmingWatchTimeout(confirmation.age(m_now)));
         after({5}, [=] { answer(index, true, action.storeRevision, m_now + wait); });
     }
+    /** The store of this fleet answers each watch, so there is none to end. */
+    void performOne(std::size_t, const AbandonWatch &) {}
     void performOne(std::size_t index, const ApplyRoutes &action)
     {
         m_daemons[index].confirmation.handleApplied(action.table->version());
--- a/src/replication/tests/replication_test.cpp
+++ b/src/replication/tests/replication_test.cpp
@@ -162,6 +162,38 @@
     CHECK(findAction<WatchRoutes>(fixture.replicator.tick(now + seconds(4))));
 }
 
+// Guards against a store that is silent for a moment and loses a watch that it had accepted: the
+// next version was not noticed until the watch timed out.
+TEST_CASE("a watch that does not report what a peer has is ended, and the store is read",
+          "[replication]")
+{
+    for (const bool answered : {true, false}) {
+        Fixture fixture;
+        fixture.addPeer("p1", "east", 7);
+        fixture.replicator.start(NOW);
+        fixture.replicator.handleReadAnswer(storedDocument(5, 7), NOW);
+        TimePoint now = NOW + seconds(2);
+        REQUIRE(findAction<WatchRoutes>(fixture.replicator.tick(now)));
+        const RouteTablePtr before = fixture.replicator.currentTable();
+        const RouteTablePtr newer = RouteTable::build(makeDocument(8)).value();
+        fixture.peers.find(ServerId("p1"))->version = 8;
+        fixture.replicator.handleUpdate(ServerId("p1"), makeRouteUpdate(before.get(), *newer), now);
+        REQUIRE(fixture.replicator.version() == 8);
+        // A push may overtake the watch's own report.
+        CHECK_FALSE(findAction<AbandonWatch>(fixture.replicator.tick(now + Duration{500})));
+        if (answered)
+            fixture.replicator.handleWatchAnswer(storedDocument(6, 8), now + Duration{500});
+        now = now + Duration{600};
+        CHECK((findAction<AbandonWatch>(fixture.replicator.tick(now)) != nullptr) != answered);
+        CHECK_FALSE(findAction<AbandonWatch>(fixture.replicator.tick(now + seconds(1))));
+        if (answered)
+            continue;
+        fixture.replicator.handleWatchAnswer(
+            fail(ResultCode::PlatformUnknown, "the store did not respond in time"), now);
+        CHECK(findAction<ReadRoutes>(fixture.replicator.tick(now + Duration{200})));
+    }
+}
+
 TEST_CASE("a daemon starts to watch when higher-ranked watchers no longer reach the store",
           "[replication]")
 {
