Feature: replication, node: logs tell a lost watch from a late version, and a late event loop from a late withdrawal

Ruled out: a line for each call of the store (two a second at each watcher, of no use between failures). Change: store_lost with call and open_ms; loop_late and loop_in_time with lag_ms, metrics event_loop_lag_ms_max and store_age_ms; caller_left with daemon and offers; hosted with at_server_ms. No decision changes: the replicator's flags of the pending call become one enum.

--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -385,6 +385,7 @@
         fields.add("status", std::int64_t{outcome.response.status});
         fields.add("deep", std::int64_t{outcome.nestedFailure ? 1 : 0});
         fields.add("held_ms", (now - call.arrived).ms);
+        fields.add("at_server_ms", call.running ? (now - call.started).ms : 0);
         fields.add("left_ms", (call.deadline - now).ms);
         fields.add("running", std::uint64_t{m_scheduler.running()});
         fields.add("waiting", std::uint64_t{m_scheduler.queued()});
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -109,6 +109,7 @@
     , m_pingRandom(seedOf(m_settings) + 3)
     , m_discovery(m_peers, DiscoveryOptions(), seedOf(m_settings) + 2)
     , m_serviceSelector(seedOf(m_settings))
+    , m_loopLag(TICK_INTERVAL, loop.now())
     , m_links(loop, m_peers, *this, PeerLinkOptions(), m_bulk)
     , m_bodySender(m_links, m_bulk)
     , m_quotas(m_settings.self, loop.now())
@@ -151,6 +152,7 @@
                 m_metrics.set("calls_displaced_total", "",
                               static_cast<double>(m_hostCalls.displacedCalls()));
                 setTenantMetrics();
+                setLoopMetrics();
                 response.body = m_metrics.text();
                 return response;
             }));
@@ -214,15 +216,36 @@
         reload();
 }
 
+void ProxyNode::setLoopMetrics()
+{
+    m_metrics.set("event_loop_lag_ms_max", "", static_cast<double>(m_loopLag.takeLargest().ms));
+    m_metrics.set("store_age_ms", "", static_cast<double>(m_replicator.storeAge(m_loop.now()).ms));
+}
+
 void ProxyNode::releaseStartupReport()
 {
     if (const auto report = m_startupReports.release(m_loop.now()))
         m_hostCalls.handleReport(*report);
 }
 
+/** Logs when what arrives waits long to be read, and when that is over. */
+void ProxyNode::recordLoopLag(TimePoint now)
+{
+    const LoopLagChange change = m_loopLag.recordTick(now);
+    if (change == LoopLagChange::None)
+        return;
+    m_log.logStateChange(change == LoopLagChange::Late ? "loop_late" : "loop_in_time",
+                         [&](LogFields &fields) {
+                             fields.add("lag_ms", m_loopLag.last().ms);
+                             fields.add("pending", std::uint64_t{m_pendingRequests.size()});
+                             fields.add("sessions", std::uint64_t{m_sessions.size()});
+                         });
+}
+
 void ProxyNode::tick()
 {
     const TimePoint now = m_loop.now();
+    recordLoopLag(now);
     releaseStartupReport();
     m_budget.setDaemonCount(m_peers.responsiveDaemonCount(now));
     m_links.tick();
@@ -449,6 +472,8 @@
     m_log.logStateChange(action.available ? "store_back" : "store_lost", [&](LogFields &fields) {
         fields.add("code", std::int64_t{resultCodeNumber(action.error.code)});
         fields.add("detail", action.error.detail);
+        fields.add("call", storeCallKindName(action.call));
+        fields.add("open_ms", action.openFor.ms);
         fields.add("version", m_replicator.version());
     });
     // The store may refuse this daemon only; another daemon has to start watching it immediately.
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -15,6 +15,7 @@
 #include "node/caller_session.h"
 #include "node/host_call_executor.h"
 #include "node/http_service.h"
+#include "node/loop_lag.h"
 #include "node/node_rollouts.h"
 #include "node/peer_links.h"
 #include "node/platform_adapter.h"
@@ -223,6 +224,8 @@
     void countRolloutRequest(const SendOffer &offer);
 
     void tick();
+    void recordLoopLag(TimePoint now);
+    void setLoopMetrics();
     void checkSettingsFile(TimePoint now);
     void releaseStartupReport();
     void checkShutdown();
@@ -259,6 +262,7 @@
         m_credentialVerdicts{};
     PeerDiscovery m_discovery;
     WeightedRoundRobin m_serviceSelector;
+    LoopLag m_loopLag;
     PeerLinks m_links;
     BodySender m_bodySender;
     QuotaParts m_quotas;
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -239,6 +239,8 @@
         fields.add("request", found->second.requestId);
         fields.add("route", found->second.route);
         fields.add("after_ms", (m_loop.now() - found->second.startedAt).ms);
+        fields.add("daemon", found->second.lastDaemon.text());
+        fields.add("offers", std::uint64_t{found->second.offers});
     });
     m_loop.cancel(found->second.timer);
     m_loop.cancel(found->second.hedgeTimer);
--- a/src/replication/replication_type.h
+++ b/src/replication/replication_type.h
@@ -13,6 +13,18 @@
 
 namespace cornelwell {
 
+/** Kind of a call to the platform's store. */
+enum class StoreCallKind : std::uint8_t
+{
+    None,  ///< No call.
+    Read,  ///< A read of the newest document.
+    Watch, ///< A watch for changes.
+    Count  ///< Number of kinds.
+};
+
+/** @return the name of a kind, for logs. */
+const char *storeCallKindName(StoreCallKind kind);
+
 /** Result of a read or a watch of the platform's store. */
 struct StoredRoutes
 {
@@ -71,6 +83,8 @@
 {
     bool available = false; ///< True when the store answers again.
     Error error;            ///< Error of the failed call when the store is unavailable.
+    StoreCallKind call = StoreCallKind::None; ///< The call that failed.
+    Duration openFor;                         ///< Time from that call to its failure.
 };
 /** An action that the caller of RouteReplicator carries out. */
 using ReplicationAction
--- a/src/replication/route_replicator.cpp
+++ b/src/replication/route_replicator.cpp
@@ -24,8 +24,23 @@
 ReplicationActions RouteReplicator::start(TimePoint now)
 {
     m_startedAt = now;
-    m_storeCallPending = true;
-    return {ReadRoutes{true}};
+    ReplicationActions actions;
+    sendRead(now, actions, true);
+    return actions;
+}
+
+void RouteReplicator::sendRead(TimePoint now, ReplicationActions &actions, bool allowStale)
+{
+    m_pendingCall = StoreCallKind::Read;
+    m_callSentAt = now;
+    actions.push_back(ReadRoutes{allowStale});
+}
+
+void RouteReplicator::sendWatch(TimePoint now, ReplicationActions &actions)
+{
+    m_pendingCall = StoreCallKind::Watch;
+    m_callSentAt = now;
+    actions.push_back(WatchRoutes{m_storeRevision, m_options.watchTimeout});
 }
 
 Duration RouteReplicator::storeAge(TimePoint now) const
@@ -35,8 +50,7 @@
 
 void RouteReplicator::handleStoreCallEnded()
 {
-    m_storeCallPending = false;
-    m_watchPending = false;
+    m_pendingCall = StoreCallKind::None;
     m_watchDueAt = NEVER;
 }
 
@@ -47,13 +61,14 @@
     m_lastStoreAnswerAt = now;
     m_storeEverAnswered = true;
     if (!m_storeAvailable)
-        actions.push_back(StoreAvailabilityChanged{true, {}});
+        actions.push_back(StoreAvailabilityChanged{true, {}, StoreCallKind::None, {0}});
     m_storeAvailable = true;
 }
 
 void RouteReplicator::handleStoreFailure(const Error &error, TimePoint now,
                                          ReplicationActions &actions)
 {
+    const StoreCallKind call = m_pendingCall;
     handleStoreCallEnded();
     m_retryDelay
         = {std::clamp(m_retryDelay.ms * 2, m_options.retryDelayMin.ms, m_options.retryDelayMax.ms)};
@@ -61,7 +76,7 @@
     m_pollUntil = now + m_options.pollAfterFailure;
     m_peerRequestAt = now;
     if (m_storeAvailable)
-        actions.push_back(StoreAvailabilityChanged{false, error});
+        actions.push_back(StoreAvailabilityChanged{false, error, call, now - m_callSentAt});
     m_storeAvailable = false;
 }
 
@@ -170,7 +185,7 @@
     while (m_recentTables.size() > (m_watching ? RECENT_TABLES_WATCHER : RECENT_TABLES_OTHER))
         m_recentTables.pop_front();
     m_table = table;
-    if (m_watchPending && !sender.empty() && m_watchDueAt == NEVER)
+    if (m_pendingCall == StoreCallKind::Watch && !sender.empty() && m_watchDueAt == NEVER)
         m_watchDueAt = now + m_options.watchReportTimeout;
     m_pushAt.clear();
     m_outdated = false;
@@ -253,16 +268,12 @@
     catchUp(now, actions);
     abandonDeadWatch(now, actions);
     m_watching = shouldWatch(now);
-    if (m_storeCallPending || now < m_nextStoreCallAt)
+    if (m_pendingCall != StoreCallKind::None || now < m_nextStoreCallAt)
         return actions;
-    if (m_readNeeded || (m_watching && (m_revisionOutdated || now < m_pollUntil))) {
-        m_storeCallPending = true;
-        actions.push_back(ReadRoutes{});
-    } else if (m_watching) {
-        m_storeCallPending = true;
-        m_watchPending = true;
-        actions.push_back(WatchRoutes{m_storeRevision, m_options.watchTimeout});
-    }
+    if (m_readNeeded || (m_watching && (m_revisionOutdated || now < m_pollUntil)))
+        sendRead(now, actions);
+    else if (m_watching)
+        sendWatch(now, actions);
     return actions;
 }
 
@@ -272,7 +283,7 @@
  */
 void RouteReplicator::abandonDeadWatch(TimePoint now, ReplicationActions &actions)
 {
-    if (!m_watchPending || now < m_watchDueAt)
+    if (m_pendingCall != StoreCallKind::Watch || now < m_watchDueAt)
         return;
     m_watchDueAt = NEVER;
     actions.push_back(AbandonWatch{});
@@ -297,10 +308,9 @@
         else if (m_table)
             m_peerRequestAt = m_readAt;
     }
-    if (now >= m_readAt && !m_storeCallPending && now >= m_nextStoreCallAt) {
-        m_storeCallPending = true;
+    if (now >= m_readAt && m_pendingCall == StoreCallKind::None && now >= m_nextStoreCallAt) {
         m_readAt = now + m_random.jitter(READ_RETRY_DELAY);
-        actions.push_back(ReadRoutes{});
+        sendRead(now, actions);
     }
     if (now < m_peerRequestAt)
         return;
@@ -329,10 +339,10 @@
 
 ReplicationActions RouteReplicator::requestRead(TimePoint now)
 {
-    if (m_storeCallPending || now < m_nextStoreCallAt)
-        return {};
-    m_storeCallPending = true;
-    return {ReadRoutes{}};
+    ReplicationActions actions;
+    if (m_pendingCall == StoreCallKind::None && now >= m_nextStoreCallAt)
+        sendRead(now, actions);
+    return actions;
 }
 
 Duration RouteReplicator::pushDelay(const Peer &peer, TimePoint now)
--- a/src/replication/route_replicator.h
+++ b/src/replication/route_replicator.h
@@ -85,6 +85,8 @@
     std::optional<ServerId> pickNewerPeer();
     void handleStoreAnswer(TimePoint now, ReplicationActions &actions);
     void handleStoreFailure(const Error &error, TimePoint now, ReplicationActions &actions);
+    void sendRead(TimePoint now, ReplicationActions &actions, bool allowStale = false);
+    void sendWatch(TimePoint now, ReplicationActions &actions);
     void handleStoreCallEnded();
     void abandonDeadWatch(TimePoint now, ReplicationActions &actions);
     bool shouldWatch(TimePoint now) const;
@@ -99,8 +101,8 @@
     std::uint64_t m_storeRevision = 0;
     bool m_readNeeded = true;
     bool m_revisionOutdated = false; ///< m_storeRevision is of an earlier era of the store.
-    bool m_storeCallPending = false;
-    bool m_watchPending = false;   ///< The pending call is a watch.
+    StoreCallKind m_pendingCall = StoreCallKind::None;
+    TimePoint m_callSentAt{0};     ///< When the pending call was sent.
     TimePoint m_watchDueAt{NEVER}; ///< When the pending watch should have reported the version.
     bool m_watching = false;
     bool m_storeAvailable = true;
--- a/src/replication/tests/replication_test.cpp
+++ b/src/replication/tests/replication_test.cpp
@@ -194,6 +194,21 @@
     }
 }
 
+TEST_CASE("a failed call is reported with its kind and the time that it was open", "[replication]")
+{
+    Fixture fixture;
+    fixture.replicator.start(NOW);
+    fixture.replicator.handleReadAnswer(storedDocument(5, 7), NOW);
+    const TimePoint now = NOW + seconds(2);
+    REQUIRE(findAction<WatchRoutes>(fixture.replicator.tick(now)));
+    const auto actions = fixture.replicator.handleWatchAnswer(
+        fail(ResultCode::PlatformUnknown, "the store did not respond in time"), now + seconds(3));
+    const auto *lost = findAction<StoreAvailabilityChanged>(actions);
+    REQUIRE(lost);
+    CHECK(std::string(storeCallKindName(lost->call)) == "watch");
+    CHECK(lost->openFor.ms == 3000);
+}
+
 TEST_CASE("a daemon starts to watch when higher-ranked watchers no longer reach the store",
           "[replication]")
 {
