--- a/src/replication/tests/confirmation_fleet.h
+++ b/src/replication/tests/confirmation_fleet.h
@@ -1,4 +1,5 @@
-/** @file confirmation_fleet.h A fleet in virtual time, for tests of the confirmation. */
+/** @file confirmation_fleet.h A fleet in virtual time, for tests of replication and confirmation.
+ */
 #pragma once
 
 #include "replication/confirmation_renewal.h"
@@ -21,6 +22,8 @@
 constexpr Duration TICK{200};
 constexpr Duration HEARTBEAT{400};
 constexpr Duration REMOTE_HEARTBEAT{1200};
+constexpr Duration READ_TIMEOUT{1200};
+constexpr Duration WATCH_MARGIN{1500};
 
 /** Daemons with the real decisions of replication and confirmation; links, store and clocks are
  * modelled. Each step checks that no confirmation is younger than what it claims. */
@@ -58,6 +61,7 @@
         daemon.confirmation = VersionConfirmation();
         daemon.renewal = ConfirmationRenewal();
         daemon.era = StoreEra();
+        daemon.openCall = 0;
         for (const Daemon &other : m_daemons)
             daemon.peers->addOrUpdate(other.record, true);
         perform(index, daemon.replicator->start(m_now));
@@ -128,6 +132,18 @@
         m_revision = 1;
     }
 
+    /** The calls of the store that are open now are never answered; later ones are. */
+    void loseStoreCalls()
+    {
+        for (const Daemon &daemon : m_daemons)
+            m_lostCalls.insert(daemon.openCall);
+    }
+    /** No message passes between daemons for a while, as when their links fall silent. */
+    void silenceLinks(Duration time) { m_linksSilentUntil = m_now + time; }
+    TimePoint now() const { return m_now; }
+    std::size_t size() const { return m_daemons.size(); }
+
+    bool confirms = true; ///< The daemons need a confirmation: watches are short, pings are sent.
     std::set<std::size_t> refused;         ///< Daemons whose store calls fail.
     std::set<std::size_t> cutCentres;      ///< Cut off from the store and other data centres.
     Duration messageDelayMax{5};           ///< Longest delay of a message.
@@ -147,6 +163,7 @@
         VersionConfirmation confirmation;
         ConfirmationRenewal renewal;
         StoreEra era;
+        std::uint64_t openCall = 0; ///< Number of the open store call; 0 for none.
         Random random{5};
     };
     struct Event
@@ -183,7 +200,7 @@
     {
         const std::size_t from = m_daemons[a].centre;
         const std::size_t to = m_daemons[b].centre;
-        return m_daemons[a].up && m_daemons[b].up
+        return m_daemons[a].up && m_daemons[b].up && m_now >= m_linksSilentUntil
                && (from == to || (cutCentres.count(from) == 0 && cutCentres.count(to) == 0));
     }
 
@@ -208,6 +225,10 @@
                 peer->linked = false;
         }
         perform(index, daemon.replicator->tick(m_now));
+        if (!confirms) {
+            onDaemon(index, TICK, [this, index] { tick(index); });
+            return;
+        }
         const RenewalDue due
             = daemon.renewal.tick(daemon.confirmation.age(m_now), *daemon.peers, m_now);
         if (due.pings)
@@ -285,13 +306,43 @@
         return document;
     }
 
-    void answer(std::size_t index, bool watch, std::uint64_t revision, TimePoint until)
+    /** @return the number of a store call, which fails when it is not answered in time. */
+    std::uint64_t openCall(std::size_t index, bool watch, Duration timeout)
+    {
+        storeCalls++;
+        const std::uint64_t call = ++m_lastCall;
+        m_daemons[index].openCall = call;
+        onDaemon(index, timeout, [this, index, watch, call] {
+            endCall(index, watch, call, fail(ResultCode::PlatformUnknown, "no answer"));
+        });
+        return call;
+    }
+
+    /** Ends a store call, unless it has ended before. */
+    void endCall(std::size_t index, bool watch, std::uint64_t call,
+                 const Result<StoredRoutes> &result)
+    {
+        Daemon &daemon = m_daemons[index];
+        if (daemon.openCall != call)
+            return;
+        daemon.openCall = 0;
+        const auto actions = watch ? daemon.replicator->handleWatchAnswer(result, m_now)
+                                   : daemon.replicator->handleReadAnswer(result, m_now);
+        if (result)
+            daemon.confirmation.handleStoreAnswer(daemon.replicator->version());
+        perform(index, actions);
+    }
+
+    void answer(std::size_t index, bool watch, std::uint64_t revision, TimePoint until,
+                std::uint64_t call)
     {
+        if (m_lostCalls.count(call) != 0)
+            return;
         const bool cut
             = refused.count(index) != 0 || cutCentres.count(m_daemons[index].centre) != 0;
         // A watch looks again until something has changed or its time is over.
         if (!cut && watch && revision >= m_revision && m_now < until) {
-            after({20}, [=] { answer(index, watch, revision, until); });
+            after({20}, [=] { answer(index, watch, revision, until, call); });
             return;
         }
         StoredRoutes routes;
@@ -301,22 +352,18 @@
         Result<StoredRoutes> result = routes;
         if (cut)
             result = fail(ResultCode::PlatformThrottled, "refused");
-        onDaemon(
-            index, {5 + static_cast<std::int64_t>(m_random.below(20))},
-            [this, index, watch, result, era = m_storeEra] {
-                Daemon &daemon = m_daemons[index];
-                if (result && daemon.era.observe(era) == EraVerdict::Raised)
-                    onDaemon(index, {0}, [this, index] {
-                        perform(index, m_daemons[index].replicator->handleStoreRestored(m_now));
-                    });
-                if (result)
-                    daemon.confirmation.handleEra(daemon.era.current());
-                const auto actions = watch ? daemon.replicator->handleWatchAnswer(result, m_now)
-                                           : daemon.replicator->handleReadAnswer(result, m_now);
-                if (result)
-                    daemon.confirmation.handleStoreAnswer(daemon.replicator->version());
-                perform(index, actions);
-            });
+        onDaemon(index, {5 + static_cast<std::int64_t>(m_random.below(20))},
+                 [this, index, watch, call, result, era = m_storeEra] {
+                     Daemon &daemon = m_daemons[index];
+                     if (result && daemon.era.observe(era) == EraVerdict::Raised)
+                         onDaemon(index, {0}, [this, index] {
+                             perform(index,
+                                     m_daemons[index].replicator->handleStoreRestored(m_now));
+                         });
+                     if (result)
+                         daemon.confirmation.handleEra(daemon.era.current());
+                     endCall(index, watch, call, result);
+                 });
     }
 
     void perform(std::size_t index, const ReplicationActions &actions)
@@ -326,26 +373,31 @@
     }
     void performOne(std::size_t index, const ReadRoutes &action)
     {
-        storeCalls++;
         m_daemons[index].confirmation.storeCallSent(
             action.allowStale ? CallKind::StaleRead : CallKind::Read, m_now);
-        after({5}, [=] { answer(index, false, 0, m_now); });
+        const std::uint64_t call = openCall(index, false, READ_TIMEOUT);
+        after({5}, [=] { answer(index, false, 0, m_now, call); });
     }
     void performOne(std::size_t index, const WatchRoutes &action)
     {
         VersionConfirmation &confirmation = m_daemons[index].confirmation;
-        if (confirmation.needsRead()) {
+        if (confirms && confirmation.needsRead()) {
             performOne(index, ReadRoutes{});
             return;
         }
-        storeCalls++;
         confirmation.storeCallSent(CallKind::Watch, m_now);
         const Duration wait
-            = std::min(action.timeout, confirmingWatchTimeout(confirmation.age(m_now)));
-        after({5}, [=] { answer(index, true, action.storeRevision, m_now + wait); });
+            = confirms ? std::min(action.timeout, confirmingWatchTimeout(confirmation.age(m_now)))
+                       : action.timeout;
+        const std::uint64_t call = openCall(index, true, wait + WATCH_MARGIN);
+        after({5}, [=] { answer(index, true, action.storeRevision, m_now + wait, call); });
+    }
+    void performOne(std::size_t index, const AbandonWatch &)
+    {
+        onDaemon(index, {0}, [this, index, call = m_daemons[index].openCall] {
+            endCall(index, true, call, fail(ResultCode::PlatformUnknown, "abandoned"));
+        });
     }
-    /** The store of this fleet answers each watch, so there is none to end. */
-    void performOne(std::size_t, const AbandonWatch &) {}
     void performOne(std::size_t index, const ApplyRoutes &action)
     {
         m_daemons[index].confirmation.handleApplied(action.table->version());
@@ -400,6 +452,9 @@
 
     Random m_random;
     TimePoint m_now{100000};
+    TimePoint m_linksSilentUntil{0};
+    std::uint64_t m_lastCall = 0;
+    std::set<std::uint64_t> m_lostCalls;
     std::uint64_t m_order = 0;
     std::uint64_t m_beat = 0;
     std::priority_queue<Event> m_events;
