Fix: replication: a lost watch of the store is noticed within three quarters of the time for a change

Callers saw: 'refused with 404 as an older version says; version 19 was acked more than 2000 ms before' (CONFIG), at all daemons at once. Cause: a watch may be lost without a sign (a store silent for a moment, connections that fall silent). A watcher waited 4 s + 1.5 s for it and counted as fresh for 5.2 s, so nothing bounded the age of what the fleet knew; a change makes all watchers watch again in the same moment, so all their watches are lost together. Daemons count as in touch 3 s after such a moment. Class: a belief that is renewed by silence, without a bound on its age that follows from the promise made with it. Ruled out: TCP keep-alive alone (a store that drops the call keeps the connection), a second watcher in each data centre (all are lost together), polling (a read of all routes for each second). Change: ReplicationOptions::forChangeBound: a watch waits for half of the time in which a change has to be in force (settings, apply-ms) and is lost a quarter of it later; a peer is fresh for as long. The node's own margin goes.

--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -44,7 +44,9 @@
     DecisionSettings decisions;    ///< Mechanisms in use.
     RevocationSettings revocation; ///< Bound for revoked keys.
     bool rollouts = false;         ///< The daemon carries out roll-outs.
-    Duration grace = seconds(6);   ///< Longest time from SIGTERM to the exit of the process.
+    /** Longest time from the acknowledgement of a change until the daemon has to follow it. */
+    Duration changeBound = milliseconds(2000);
+    Duration grace = seconds(6); ///< Longest time from SIGTERM to the exit of the process.
 };
 
 } // namespace cornelwell
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -17,8 +17,6 @@
 constexpr Duration STORE_TIMEOUT{3000};           ///< Longest wait for a response of the store.
 /** Shorter than STORE_TIMEOUT, because a retry of a read is worth more than a long wait. */
 constexpr Duration ROUTES_READ_TIMEOUT{1200};
-/** A watch times out this long after the wait that it asks the store for. */
-constexpr Duration WATCH_TIMEOUT_MARGIN{1500};
 constexpr Duration QUIET_TIME{300};     ///< A shutdown ends after this time without a request.
 constexpr unsigned CRASH_THRESHOLD = 3; ///< Crashes after which a request is quarantined.
 
@@ -105,7 +103,8 @@
           [this] { return m_shutdown.hasBegun() ? HostLoad() : m_hostCalls.load(); },
           dispatchOptions(m_settings.decisions), seedOf(m_settings))
     , m_nestedRoutes(nestedRoutesOptions(m_settings.decisions))
-    , m_replicator(m_peers, ReplicationOptions(), seedOf(m_settings) + 1)
+    , m_replicator(m_peers, ReplicationOptions::forChangeBound(m_settings.changeBound),
+                   seedOf(m_settings) + 1)
     , m_pingRandom(seedOf(m_settings) + 3)
     , m_discovery(m_peers, DiscoveryOptions(), seedOf(m_settings) + 2)
     , m_serviceSelector(seedOf(m_settings))
@@ -396,8 +395,7 @@
     const Duration timeout = watchTimeout(action.timeout);
     m_confirmation.storeCallSent(VersionConfirmation::CallKind::Watch, m_loop.clock().bootNow());
     m_watchClient.call(m_adapter.watchRoutesRequest(action.storeRevision, timeout),
-                       timeout + WATCH_TIMEOUT_MARGIN,
-                       [this](const Result<HttpResponse> &response) {
+                       timeout + action.answerMargin, [this](const Result<HttpResponse> &response) {
                            const Result<StoredRoutes> read
                                = parseStoreAnswer(response, &PlatformAdapter::parseRoutesWatch);
                            const auto actions = m_replicator.handleWatchAnswer(read, m_loop.now());
--- a/src/node/settings_change.cpp
+++ b/src/node/settings_change.cpp
@@ -51,6 +51,8 @@
         change.restartRequired.emplace_back("server");
     if (!(current.decisions == updated.decisions))
         change.restartRequired.emplace_back("decisions");
+    if (current.changeBound != updated.changeBound)
+        change.restartRequired.emplace_back("change bound");
     if (current.pace != updated.pace)
         change.restartRequired.emplace_back("pace");
     return change;
--- a/src/replication/replication_type.h
+++ b/src/replication/replication_type.h
@@ -44,6 +44,7 @@
 {
     std::uint64_t storeRevision = 0; ///< Last store revision that this daemon has seen.
     Duration timeout;                ///< Longest time that the store may wait for a change.
+    Duration answerMargin; ///< The watch is lost when it is not answered this long after timeout.
 };
 /** End the open watch like one whose connection broke; the failure goes to handleWatchAnswer. */
 struct AbandonWatch
@@ -103,10 +104,18 @@
      * as many, rounded up, because watchers also push to peers in other data centres.
      */
     unsigned watcherCount = 2;
-    /** Longest time that the store may hold one watch open. */
-    Duration watchTimeout = {4000};
-    /** A peer counts as a watcher while its last answer from the store is younger than this. */
-    Duration freshStoreAge = {5200};
+    /**
+     * Longest time that the store may hold one watch open. A watch may be lost without a sign, so
+     * this and watchAnswerMargin together bound the time for which a change goes unnoticed.
+     */
+    Duration watchTimeout = {1000};
+    /** How long after watchTimeout the answer of a slow store may come. */
+    Duration watchAnswerMargin = {500};
+    /**
+     * A peer counts as a watcher while its last answer from the store is younger than this: the
+     * longest time that a watch is open, and the age of the peer's report.
+     */
+    Duration freshStoreAge = {1900};
     /**
      * How long an open watch may take to report a version that a peer has sent: longer than an
      * answer of a slow store, and short of the time in which a change has to be in force.
@@ -146,6 +155,12 @@
     Duration peerRequestDelay = {900};
     /** Delay between two such requests; jittered. */
     Duration peerRequestInterval = {700};
+
+    /**
+     * @param bound Longest time from the acknowledgement of a change until all daemons follow it.
+     * @return options with which a lost watch is noticed within three quarters of the bound.
+     */
+    static ReplicationOptions forChangeBound(Duration bound);
 };
 
 } // namespace cornelwell
--- a/src/replication/route_replicator.cpp
+++ b/src/replication/route_replicator.cpp
@@ -40,7 +40,8 @@
 {
     m_pendingCall = StoreCallKind::Watch;
     m_callSentAt = now;
-    actions.push_back(WatchRoutes{m_storeRevision, m_options.watchTimeout});
+    actions.push_back(
+        WatchRoutes{m_storeRevision, m_options.watchTimeout, m_options.watchAnswerMargin});
 }
 
 Duration RouteReplicator::storeAge(TimePoint now) const
--- a/src/replication/tests/confirmation_fleet.h
+++ b/src/replication/tests/confirmation_fleet.h
@@ -23,7 +23,6 @@
 constexpr Duration HEARTBEAT{400};
 constexpr Duration REMOTE_HEARTBEAT{1200};
 constexpr Duration READ_TIMEOUT{1200};
-constexpr Duration WATCH_MARGIN{1500};
 
 /** Daemons with the real decisions of replication and confirmation; links, store and clocks are
  * modelled. Each step checks that no confirmation is younger than what it claims. */
@@ -389,7 +388,7 @@
         const Duration wait
             = confirms ? std::min(action.timeout, confirmingWatchTimeout(confirmation.age(m_now)))
                        : action.timeout;
-        const std::uint64_t call = openCall(index, true, wait + WATCH_MARGIN);
+        const std::uint64_t call = openCall(index, true, wait + action.answerMargin);
         after({5}, [=] { answer(index, true, action.storeRevision, m_now + wait, call); });
     }
     void performOne(std::size_t index, const AbandonWatch &)
--- a/src/replication/tests/lost_watch_test.cpp
+++ b/src/replication/tests/lost_watch_test.cpp
@@ -26,7 +26,7 @@
 
 // Guards against CONFIG: all watchers waited 5.5 s for watches that the store had lost.
 TEST_CASE("a change is in force in time though the store lost the watches of all data centres",
-          "[replication][known-red]")
+          "[replication]")
 {
     for (const std::vector<unsigned> &centres : {std::vector<unsigned>{9}, {3, 3, 3}, {30, 30}}) {
         for (const bool silentLinks : {false, true}) {
@@ -51,3 +51,15 @@
         }
     }
 }
+
+TEST_CASE("a lost watch is noticed well before a change has to be in force", "[replication]")
+{
+    for (const std::int64_t bound : {2000, 2500, 3000, 10000}) {
+        const auto options = ReplicationOptions::forChangeBound({bound});
+        const Duration unnoticed = options.watchTimeout + options.watchAnswerMargin;
+        CHECK(unnoticed.ms <= bound * 3 / 4);
+        CHECK(options.freshStoreAge > unnoticed);
+    }
+    // A watch shorter than this would cost the store more calls than it saves time.
+    CHECK(ReplicationOptions::forChangeBound({0}).watchTimeout.ms == 400);
+}
