Fix: link, base: a deeply nested message of a peer no longer ends the process

Operators saw: processes that end by themselves after one odd entry (report of other operators). On the links it is the same class. Cause: the CBOR decoder recurses once for each level; 1,000,000 bytes 0x81 on the link port end the process (SIGSEGV in the test on the code before), without a hello or a name. Class: parsing of others' bytes without a bound on depth. Ruled out: the length prefix as a bound (72 MB are allowed for routes). Change: parseCbor() builds the document and ends at 16 levels (messages have 6 at most); PeerMalformed closes the link as before.

--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -1,6 +1,7 @@
 /** @file link_codec.cpp Encodes each message as a CBOR array whose first element is its kind. */
 #include "link/link_codec.h"
 
+#include "base/foreign_json_func.h"
 #include "link/link_codec_internal.h"
 #include "link/link_quota_codec_func.h"
 #include "link/link_rollout_internal.h"
@@ -12,6 +13,7 @@
 using namespace link_json;
 
 constexpr std::size_t LENGTH_PREFIX_BYTES = 4; ///< Big-endian length in front of each message.
+constexpr std::size_t DEPTH_MAX = 16; ///< Deepest accepted nesting; messages have at most 6 levels.
 constexpr std::size_t COMPACT_THRESHOLD_BYTES
     = 65536; ///< More consumed bytes are erased from the buffer.
 
@@ -388,7 +390,8 @@
 Result<LinkMessage> decodeLinkMessage(std::string_view bytes)
 {
     try {
-        return messageFromJson(Json::from_cbor(bytes.begin(), bytes.end()));
+        BOOST_OUTCOME_TRY(value, parseCbor(bytes, DEPTH_MAX, ResultCode::PeerMalformed));
+        return messageFromJson(value);
     } catch (const std::exception &error) {
         return fail(ResultCode::PeerMalformed, error.what());
     }
--- a/src/link/tests/link_test.cpp
+++ b/src/link/tests/link_test.cpp
@@ -287,3 +287,13 @@
     CHECK(read.evidence->routes.at(0).failures == 2);
     CHECK(read.evidence->routes.at(0).times[7] == 9);
 }
+
+// Guards against ends of the process: decoding recursed once for each level.
+TEST_CASE("a deeply nested message of a peer is refused", "[link]")
+{
+    for (const std::size_t depth : {100, 1'000'000}) {
+        const auto decoded = decodeLinkMessage(std::string(depth, '\x81') + '\x01');
+        REQUIRE_FALSE(decoded);
+        CHECK(decoded.error().code == ResultCode::PeerMalformed);
+    }
+}
