Fix: platform, node: an odd entry of another writer costs that entry only

Operators saw: one entry, very deeply nested, with a number too large or a port out of range, and machines that stopped following the list or ended again and again (LOST). Cause, shown by tests that fail on the code before: a number such as 1e400, or bytes that are no UTF-8, anywhere made the whole answer 'not JSON', for as long as the entry stood (lists of daemons, routes, roll-outs); 2^32+1 was cut down to 1 in a weight; a version or an era with a sign, blanks or beyond 64 bits was read as some number. A port out of range cost its entry only before, too. Ruled out: deep nesting in a list as an end of the process (parsed and freed without recursion here; it is bounded now all the same). A route whose split cannot be read keeps its place and answers 503; a tenant that cannot be read refuses the version, since 0 stands for no quota. store_entry_unreadable in the log, with list and place.

--- a/src/daemon/admin_handler.cpp
+++ b/src/daemon/admin_handler.cpp
@@ -1,6 +1,8 @@
 /** @file admin_handler.cpp Builds the answers of the admin address. */
 #include "daemon/admin_handler.h"
 
+#include "base/json_func.h"
+
 #include "base/endpoint_func.h"
 #include "base/hash_func.h"
 #include "catalogue/entry_func.h"
@@ -92,11 +94,11 @@
 
 HttpResponse AdminHandler::cut(const HttpRequest &request)
 {
-    const nlohmann::json list = nlohmann::json::parse(request.body, nullptr, false);
-    if (!list.is_array())
+    const Result<nlohmann::json> list = parseJson(request.body, JsonOptions());
+    if (!list || !list.value().is_array())
         return textResponse(400, "give a JSON list of IP numbers\n");
     std::set<std::string> addresses;
-    for (const nlohmann::json &address : list) {
+    for (const nlohmann::json &address : list.value()) {
         if (address.is_string())
             addresses.insert(address.get<std::string>());
     }
--- a/src/fleet/peer_discovery.h
+++ b/src/fleet/peer_discovery.h
@@ -31,6 +31,8 @@
     std::vector<StoredDaemon> daemons; ///< Announcements, sorted by name.
     bool more = false;                 ///< More pages follow.
     std::string last;                  ///< Name of the last object, for ListDaemons::after.
+    /** Parts of the answer that cannot be read, with their places; for logs. */
+    std::vector<Error> faults;
 };
 
 /** Write this daemon's announcement to the store; then call handleAnnounceAnswer(). */
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -174,6 +174,7 @@
     template<typename T>
     Result<T> parseStoreAnswer(const Result<HttpResponse> &response,
                                Result<T> (PlatformAdapter::*parse)(const HttpResponse &) const);
+    void logFaults(const std::vector<Error> &faults, const char *source);
     bool observeStoreEra(std::uint64_t era, const std::string &source);
     void perform(const ReplicationActions &actions);
     void perform(const ReadRoutes &action);
--- a/src/node/proxy_node_calls.cpp
+++ b/src/node/proxy_node_calls.cpp
@@ -30,6 +30,9 @@
 /** Retries of a request that was refused or failed are recognized for this long. */
 constexpr Duration FAILURE_LIFETIME{3000};
 
+/** Longest time left that is believed; sums with time points stay within their type. */
+constexpr Duration TIME_LEFT_MAX = seconds(86400);
+
 /** @return the time left in a header field in milliseconds; @p fallback when it is not a number or
  * negative. */
 Duration parseTimeLeft(std::string_view value, Duration fallback)
@@ -37,7 +40,8 @@
     const std::string text(value);
     char *end = nullptr;
     const long long ms = std::strtoll(text.c_str(), &end, 10);
-    return end == text.c_str() || ms < 0 ? fallback : Duration{ms};
+    return end == text.c_str() || ms < 0 ? fallback
+                                         : Duration{std::min<std::int64_t>(ms, TIME_LEFT_MAX.ms)};
 }
 
 std::string formatSeconds(Duration duration)
--- a/src/node/proxy_node_rollouts.cpp
+++ b/src/node/proxy_node_rollouts.cpp
@@ -140,14 +140,15 @@
 void ProxyNode::perform(const ListRollouts &action)
 {
     const TimePoint sentAt = m_loop.now();
-    m_rollouts->watchClient.call(
-        m_adapter.listRolloutsRequest(action.after), LIST_TIMEOUT,
-        [this, sentAt](const Result<HttpResponse> &response) {
-            m_rollouts->watch.handleList(
-                parseStoreAnswer(response, &PlatformAdapter::parseRolloutList), sentAt,
-                m_loop.now());
-            evaluateRollouts();
-        });
+    m_rollouts->watchClient.call(m_adapter.listRolloutsRequest(action.after), LIST_TIMEOUT,
+                                 [this, sentAt](const Result<HttpResponse> &response) {
+                                     const auto read = parseStoreAnswer(
+                                         response, &PlatformAdapter::parseRolloutList);
+                                     if (read)
+                                         logFaults(read.value().faults, "rollouts");
+                                     m_rollouts->watch.handleList(read, sentAt, m_loop.now());
+                                     evaluateRollouts();
+                                 });
 }
 
 void ProxyNode::perform(const WatchRollouts &action)
@@ -156,9 +157,10 @@
     m_rollouts->watchClient.call(
         m_adapter.watchRolloutsRequest(action.storeRevision, action.wait),
         action.wait + WATCH_TIMEOUT_MARGIN, [this, sentAt](const Result<HttpResponse> &response) {
-            m_rollouts->watch.handleWatch(
-                parseStoreAnswer(response, &PlatformAdapter::parseRolloutWatch), sentAt,
-                m_loop.now());
+            const auto read = parseStoreAnswer(response, &PlatformAdapter::parseRolloutWatch);
+            if (read)
+                logFaults(read.value().faults, "rollouts");
+            m_rollouts->watch.handleWatch(read, sentAt, m_loop.now());
             evaluateRollouts();
         });
 }
--- a/src/node/server_connection_pool.cpp
+++ b/src/node/server_connection_pool.cpp
@@ -16,6 +16,7 @@
 constexpr Duration CONNECT_TIMEOUT{1000};
 constexpr Duration PROBE_TIMEOUT{400}; ///< The local server accepts a connection within this time.
 constexpr Duration DEFAULT_IDLE_TIMEOUT{6000}; ///< Used when the server names no timeout.
+constexpr long MAX_IDLE_TIMEOUT_S = 3600;      ///< A server's longer timeout is not relied on.
 constexpr int MAX_STALE_RESPONSES = 3; ///< Most responses to earlier requests that are skipped.
 /** Most bytes of unfinished responses on all connections; the response that exceeds it is broken
  * off, since a server may send bytes without end on each of its connections. */
@@ -38,7 +39,9 @@
     const std::size_t at = value.find("timeout=");
     if (at == std::string_view::npos)
         return DEFAULT_IDLE_TIMEOUT;
-    const long timeoutSeconds = std::strtol(std::string(value.substr(at + 8)).c_str(), nullptr, 10);
+    const long timeoutSeconds
+        = std::clamp(std::strtol(std::string(value.substr(at + 8)).c_str(), nullptr, 10), 0L,
+                     MAX_IDLE_TIMEOUT_S);
     return {static_cast<std::int64_t>(static_cast<double>(timeoutSeconds) * IDLE_TIMEOUT_FRACTION
                                       * MS_PER_SECOND)};
 }
--- a/src/replication/replication_type.h
+++ b/src/replication/replication_type.h
@@ -31,6 +31,8 @@
     std::uint64_t storeRevision = 0; ///< Store revision of this result; the next watch starts here.
     /** The newest document, or why it is unusable; empty when there is none or none is newer. */
     std::optional<Result<RouteDocument>> document;
+    /** Parts of the answer that cannot be read, with their places; for logs. */
+    std::vector<Error> faults;
 };
 
 /** Read the newest document from the store; the result goes to handleReadAnswer. */
--- a/src/rollout/rollout_watch.h
+++ b/src/rollout/rollout_watch.h
@@ -31,6 +31,8 @@
     std::vector<StoredRollout> objects; ///< All objects of a list, the changed ones of a watch.
     bool more = false;                  ///< More pages follow.
     std::string last;                   ///< Name of the last object, for ListRollouts::after.
+    /** Parts of the answer that cannot be read, with their places; for logs. */
+    std::vector<Error> faults;
 };
 
 /** Read a page of the orders, not from a cache; then call handleList(). */
