--- a/tests/foreign_entries_test.cpp
+++ b/tests/foreign_entries_test.cpp
@@ -186,6 +186,29 @@
     }
 }
 
+TEST_CASE("settings with a number out of range are refused with its place", "[adapter]")
+{
+    const auto text = [](const std::string &ports, const std::string &bound) {
+        return R"({"self":{"node-name":"a","ip":"10.0.0.1","zone":"z","service":"s",)"
+               R"("app-addr":"10.0.0.1:80"},"network":{"internal-ports":)"
+               + ports
+               + R"(,"listen-addrs":{"outbound":"10.0.0.1:1","ready":"10.0.0.1:2",)"
+                 R"("control":"10.0.0.1:3"}},"platform":{"platform":{"address":"10.0.0.2:9"}},)"
+                 R"("timers":{"bounds":{"apply-ms":)"
+               + bound + "}}}";
+    };
+    REQUIRE(PLATFORM.settings(text("[7660,7675]", "2000")));
+    const auto port = PLATFORM.settings(text("[65536,65540]", "2000"));
+    REQUIRE_FALSE(port);
+    CHECK(port.error().code == ResultCode::SettingsOutOfRange);
+    CHECK(port.error().where == "/network/internal-ports/0");
+    for (const std::string bound : {"-1", "1e300"}) {
+        const auto settings = PLATFORM.settings(text("[7660,7675]", bound));
+        REQUIRE_FALSE(settings);
+        CHECK(settings.error().where == "/timers/bounds/apply-ms");
+    }
+}
+
 TEST_CASE("a deeply nested report of a server is refused", "[adapter]")
 {
     HttpRequest request;
