Fix: link, node: a call whose withdrawal has been read with it is not started

Cause: messages of a link were carried out one by one as they were decoded. Class: acting on the first of several facts that are at hand together. Ruled out: a queue at the hosting daemon (held_ms 0). Change: dropWithdrawnCalls() removes calls that a later message of the same read withdraws; a call that was removed has not run.

--- a/src/link/tests/link_test.cpp
+++ b/src/link/tests/link_test.cpp
@@ -1,5 +1,6 @@
 /** @file link_test.cpp Link messages: round trips, split reads and damaged input. */
 #include "link/link_codec.h"
+#include "link/withdrawn_calls_func.h"
 
 #include <catch2/catch.hpp>
 
@@ -297,3 +298,23 @@
         CHECK(decoded.error().code == ResultCode::PeerMalformed);
     }
 }
+
+// Guards against GONE: a daemon that was behind started calls whose withdrawal it had read too.
+TEST_CASE("a call that is withdrawn in the same bytes is dropped", "[link]")
+{
+    LinkCall first;
+    first.offer = 1;
+    LinkCall second;
+    second.offer = 2;
+    LinkCall third;
+    third.offer = 3;
+    std::vector<LinkMessage> messages
+        = {first, LinkCancel{3, false}, second, LinkCancel{1, false}, third, LinkCancel{2, true}};
+    dropWithdrawnCalls(messages);
+    // The third call comes after the withdrawal of its number, so it stays.
+    REQUIRE(messages.size() == 4);
+    CHECK(std::get<LinkCancel>(messages[0]).offer == 3);
+    CHECK(std::get<LinkCancel>(messages[1]).offer == 1);
+    CHECK(std::get<LinkCall>(messages[2]).offer == 3);
+    CHECK(std::get<LinkCancel>(messages[3]).offer == 2);
+}
--- a/src/node/peer_links_internal.h
+++ b/src/node/peer_links_internal.h
@@ -1,12 +1,14 @@
 /** @file peer_links_internal.h One link to a peer, for each direction; private to PeerLinks. */
 #pragma once
 
+#include "link/withdrawn_calls_func.h"
 #include "node/peer_links.h"
 
 #include <map>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace cornelwell {
 
@@ -178,13 +180,25 @@
         const auto self = shared_from_this();
         m_links.m_listener.linkInputReceived(bytes.size());
         m_reader.feed(bytes);
-        while (m_connection->isOpen() && m_reader.ready()) {
+        std::vector<LinkMessage> messages;
+        bool malformed = false;
+        while (!malformed && m_reader.ready()) {
             Result<LinkMessage> message = m_reader.next();
-            if (!message || !handleMessage(std::move(message.value()))) {
+            malformed = !message;
+            if (message)
+                messages.push_back(std::move(message.value()));
+        }
+        dropWithdrawnCalls(messages);
+        for (LinkMessage &message : messages) {
+            if (!m_connection->isOpen())
+                return;
+            if (!handleMessage(std::move(message))) {
                 close();
                 return;
             }
         }
+        if (malformed)
+            close();
     }
 
     void disconnected(DisconnectReason) override { m_links.inboundLinkClosed(*this); }
