Codechange: platform, base: what cannot be read is masked by an empty object

Cause, found while reading the diff: a masked number became null, which stands for an absent value in places (a tenant's quota, a route's split), so that a special check for tenants was needed and a split of null counted as unreadable. Ruled out: an empty text or list (both are values somewhere).

--- a/src/base/foreign_json_func.cpp
+++ b/src/base/foreign_json_func.cpp
@@ -138,7 +138,7 @@
         const std::string number = m_text.substr(begin, m_at - begin);
         if (std::isfinite(std::strtod(number.c_str(), nullptr)))
             return;
-        replace(begin, m_at, "null");
+        replace(begin, m_at);
         record("a number out of range");
     }
 
@@ -161,15 +161,17 @@
         }
         if (m_at >= m_text.size())
             return;
-        replace(begin, ++m_at, "\"\"");
+        replace(begin, ++m_at);
         record("nested deeper than " + std::to_string(m_depthMax));
     }
 
-    void replace(std::size_t begin, std::size_t end, std::string_view value)
+    /** An empty object is as short as any part, and no reader takes it for a value of its own. */
+    void replace(std::size_t begin, std::size_t end)
     {
         std::fill(m_text.begin() + static_cast<std::ptrdiff_t>(begin),
                   m_text.begin() + static_cast<std::ptrdiff_t>(end), ' ');
-        m_text.replace(begin, value.size(), value);
+        m_text[begin] = '{';
+        m_text[begin + 1] = '}';
     }
 
     void record(std::string detail)
--- a/src/base/foreign_json_func.h
+++ b/src/base/foreign_json_func.h
@@ -18,9 +18,9 @@
 
 /**
  * Parses a text of which each part may come from another writer. A part that the parser would
- * refuse the whole text for does not hide the others: a number without a finite value becomes null,
- * a value nested deeper than the limit an empty text, a byte of a text that is no UTF-8 or a
- * control character a question mark.
+ * refuse the whole text for does not hide the others: a number without a finite value and a value
+ * nested deeper than the limit become an empty object, a byte of a text that is no UTF-8 or a
+ * control character becomes a question mark.
  * @param text The text.
  * @param options Limits and error codes; comments and duplicate keys are not looked at.
  * @param faults Receives the replaced parts, in order.
--- a/tests/foreign_entries_test.cpp
+++ b/tests/foreign_entries_test.cpp
@@ -138,7 +138,7 @@
 
 TEST_CASE("a version with a tenant that cannot be read is refused whole", "[adapter]")
 {
-    // Without a value the quota would be read as no quota.
+    // An absent number stands for no quota, so this one must not count as absent.
     std::string spec = routeBody(ROUTE);
     spec.insert(spec.size() - 1, R"(,"tenants":[{"name":"a","api-keys":["k"],"per-s":1e400}])");
     const auto read = PLATFORM.parseRoutesRead(answer(routeList(spec, "{}")));
