--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -436,7 +436,7 @@
         await self.store.start(*self.store_address)
 
     def add_vm(self, name, service, zone="east"):
-        ip = f"127.{self.net}.1.{len(self.vms) + 1}"
+        ip = f"127.{self.net}.{1 + len(self.vms) // 200}.{1 + len(self.vms) % 200}"
         base = free_ports(ip, 24)
         names = ["outbound", "inbound", "ready", "control", "app", "spare"]
         ports = {one: base + i for i, one in enumerate(names)}
