Fix: a departed server stays away after a kill of all daemons

Cause: an acknowledged departure lived in the memory of daemons only. After a start reports waited for two peers, 700 ms at most, and peers that had just started themselves ended the wait although they knew nothing.

While the store is away a leaving server gets 503 and no calls, and is acknowledged once the write has gone through. Only peers that knew the server end the wait without the store.

Why it works: the acknowledgement now implies the record, and a daemon uses no server before it has read the record or heard peers that remember; a record that is read later ends the use of the server.

The tests of StartupReports name witnesses in place of counting peers: the same bounds, and a peer counts once.

--- a/src/hosting/startup_reports.h
+++ b/src/hosting/startup_reports.h
@@ -4,20 +4,23 @@
 #include "hosting/hosting_type.h"
 
 #include <optional>
+#include <set>
 
 namespace cornelwell {
 
 /** How long reports wait after the start of the daemon. */
 struct StartupReportsOptions
 {
-    Duration waitMax = {700};   ///< Longest wait: peers may be out of reach.
-    unsigned peersExpected = 2; ///< Peers whose state ends the wait.
+    Duration witnessWait = {700};   ///< After this time one peer that knows the server is enough.
+    unsigned witnessesExpected = 2; ///< Peers that know the server and end the wait at once.
+    Duration waitMax = {4000};      ///< Longest wait: store and peers may be out of reach.
 };
 
 /**
- * Holds back the local server's reports after a start of the daemon until peers have told which
- * server had deregistered here before: a late report must not register that server again. Notices
- * that end a server's use are not held.
+ * Holds back the local server's reports after a start of the daemon until it is known which servers
+ * had left here before: a late report must not register such a server again. The record in the
+ * store tells it, or else peers that knew the server of the daemon's earlier incarnation; peers
+ * that have restarted too know nothing. Notices that end a server's use are not held.
  */
 class StartupReports
 {
@@ -39,8 +42,10 @@
             m_held = report;
         return true;
     }
-    /** Handles the first state of a peer. */
-    void peerHeard() { m_peersHeard++; }
+    /** Handles the record of departures in the store. */
+    void recordRead() { m_recordRead = true; }
+    /** Handles a peer that has told what it knows of the server before the start. */
+    void witnessHeard(const ServerId &peer) { m_witnesses.insert(peer); }
     /** @return the newest held report once the wait is over; nothing before, or the second time. */
     std::optional<ServerReport> release(TimePoint now)
     {
@@ -54,12 +59,16 @@
 private:
     bool isOver(TimePoint now) const
     {
-        return m_peersHeard >= m_options.peersExpected || now - m_startedAt >= m_options.waitMax;
+        const Duration waited = now - m_startedAt;
+        return m_recordRead || m_witnesses.size() >= m_options.witnessesExpected
+               || (!m_witnesses.empty() && waited >= m_options.witnessWait)
+               || waited >= m_options.waitMax;
     }
 
     const StartupReportsOptions m_options;
     const TimePoint m_startedAt;
-    unsigned m_peersHeard = 0;
+    bool m_recordRead = false;
+    std::set<ServerId> m_witnesses;
     std::optional<ServerReport> m_held;
 };
 
--- a/src/hosting/tests/hosting_test.cpp
+++ b/src/hosting/tests/hosting_test.cpp
@@ -103,15 +103,16 @@
 TEST_CASE("after a restart of the daemon a late report does not bring back a server that had left",
           "[hosting]")
 {
-    StartupReports startup({Duration{700}, 2}, NOW);
+    StartupReports startup({Duration{700}, 2, Duration{4000}}, NOW);
     HostScheduler scheduler{HostSchedulerOptions()};
     REQUIRE(startup.hold(makeReport("left", 10, 5), NOW + Duration{50}));
     CHECK_FALSE(startup.release(NOW + Duration{60}));
     // The first peers report which server had left here; then the held report is handled.
-    startup.peerHeard();
+    startup.witnessHeard(ServerId("peer-1"));
+    startup.witnessHeard(ServerId("peer-1"));
     CHECK_FALSE(startup.release(NOW + Duration{60}));
     scheduler.handleDeregistration("left", 0, NOW + Duration{70});
-    startup.peerHeard();
+    startup.witnessHeard(ServerId("peer-2"));
     const auto held = startup.release(NOW + Duration{70});
     REQUIRE(held);
     scheduler.handleReport(*held, NOW + Duration{70});
@@ -123,16 +124,35 @@
 TEST_CASE("reports wait for peers only briefly, the newest one counts, and leaving never waits",
           "[hosting]")
 {
-    StartupReports startup({Duration{700}, 2}, NOW);
+    StartupReports startup({Duration{700}, 2, Duration{4000}}, NOW);
     CHECK(startup.hold(makeReport("a", 10, 5), NOW));
     CHECK(startup.hold(makeReport("b", 20, 1), NOW));
     CHECK(startup.hold(makeReport("a", 10, 6), NOW));
     CHECK_FALSE(startup.hold(makeReport("b", 20, 2, true), NOW));
+    startup.witnessHeard(ServerId("peer-1"));
     CHECK_FALSE(startup.release(NOW + Duration{699}));
     REQUIRE(startup.release(NOW + Duration{700}));
     CHECK_FALSE(startup.hold(makeReport("b", 20, 3), NOW + Duration{700}));
 }
 
+// Guards against DRAIN after a kill of all daemons: peers that had restarted too ended the wait.
+TEST_CASE("without a peer that knew the server, reports wait for the record in the store",
+          "[hosting]")
+{
+    StartupReports startup({Duration{700}, 2, Duration{4000}}, NOW);
+    CHECK(startup.hold(makeReport("a", 10, 5), NOW));
+    CHECK_FALSE(startup.release(NOW + Duration{3999}));
+    SECTION("the store answers")
+    {
+        startup.recordRead();
+        REQUIRE(startup.release(NOW + Duration{20}));
+    }
+    SECTION("the store stays away")
+    {
+        REQUIRE(startup.release(NOW + Duration{4000}));
+    }
+}
+
 // Guards against a server that is taken back by a report that another writer or a retry sent.
 TEST_CASE("a server that reported draining gets no calls again before its next start", "[hosting]")
 {
--- a/src/node/http_service.cpp
+++ b/src/node/http_service.cpp
@@ -28,7 +28,16 @@
     void received(std::string_view bytes) override
     {
         m_reader.feed(bytes);
-        while (m_connection->isOpen()) {
+        handleRequests();
+    }
+
+    void disconnected(DisconnectReason) override { removeSession(); }
+
+private:
+    /** Handles the requests that have arrived, until one of them has to wait for its response. */
+    void handleRequests()
+    {
+        while (m_connection->isOpen() && !m_awaitsResponse) {
             const RequestParseStatus status = m_reader.parse();
             if (status == RequestParseStatus::NeedMore)
                 return;
@@ -39,20 +48,38 @@
                 closeAfterResponse();
                 return;
             }
-            const IncomingRequest incoming = m_reader.take();
-            const HttpResponse response = m_service.m_handler(incoming.request);
-            m_connection->write(
-                serializeResponse(response, incoming.request.method, !incoming.keepAlive));
-            if (!incoming.keepAlive) {
-                closeAfterResponse();
-                return;
-            }
+            handle(m_reader.take());
         }
     }
 
-    void disconnected(DisconnectReason) override { removeSession(); }
+    void handle(const IncomingRequest &incoming)
+    {
+        m_awaitsResponse = true;
+        m_isHandling = true;
+        const std::weak_ptr<Session> weak = weak_from_this();
+        m_service.m_handler(incoming.request,
+                            [weak, method = incoming.request.method,
+                             keepAlive = incoming.keepAlive](const HttpResponse &response) {
+                                if (const auto session = weak.lock())
+                                    session->respond(response, method, keepAlive);
+                            });
+        m_isHandling = false;
+    }
+
+    void respond(const HttpResponse &response, const std::string &method, bool keepAlive)
+    {
+        if (!m_awaitsResponse || !m_connection->isOpen())
+            return;
+        m_awaitsResponse = false;
+        m_connection->write(serializeResponse(response, method, !keepAlive));
+        if (!keepAlive) {
+            closeAfterResponse();
+            return;
+        }
+        if (!m_isHandling)
+            handleRequests();
+    }
 
-private:
     void closeAfterResponse()
     {
         m_connection->closeWhenSent();
@@ -70,9 +97,11 @@
     HttpService &m_service;
     TcpConnectionPtr m_connection;
     RequestReader m_reader;
+    bool m_awaitsResponse = false; ///< A request was passed to the handler and not answered.
+    bool m_isHandling = false;     ///< The handler runs, within handleRequests().
 };
 
-HttpService::HttpService(EventLoop &loop, Handler handler)
+HttpService::HttpService(EventLoop &loop, DeferringHandler handler)
     : m_loop(loop), m_handler(std::move(handler))
 {}
 
@@ -84,6 +113,16 @@
 
 Result<std::unique_ptr<HttpService>> HttpService::listen(EventLoop &loop, const Endpoint &address,
                                                          Handler handler)
+{
+    return listenDeferring(
+        loop, address,
+        [handler = std::move(handler)](const HttpRequest &request, const Reply &reply) {
+            reply(handler(request));
+        });
+}
+
+Result<std::unique_ptr<HttpService>>
+HttpService::listenDeferring(EventLoop &loop, const Endpoint &address, DeferringHandler handler)
 {
     std::unique_ptr<HttpService> service(new HttpService(loop, std::move(handler)));
     HttpService *raw = service.get();
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "fleet/peer_discovery.h"
+#include "hosting/departure_registry.h"
 #include "hosting/hosting_type.h"
 #include "http/http_type.h"
 #include "node/node_settings.h"
@@ -71,6 +72,18 @@
     /** @return the page in the response to listDaemonsRequest, or an error. */
     virtual Result<DaemonPage> parseDaemonList(const HttpResponse &response) const = 0;
 
+    /** @return the request that reads the departures from a daemon's VM. */
+    virtual HttpRequest readDeparturesRequest(const ServerId &daemon) const = 0;
+    /** @return the departures in the response to readDeparturesRequest, or an error. */
+    virtual Result<StoredDepartures> parseDeparturesRead(const HttpResponse &response,
+                                                         const ServerId &daemon) const = 0;
+    /** @return the request that replaces the departures from a daemon's VM. */
+    virtual HttpRequest writeDeparturesRequest(const ServerId &daemon,
+                                               const WriteDepartures &record) const = 0;
+    /** @return the result in the response to writeDeparturesRequest, or an error. */
+    virtual Result<DepartureWriteAnswer> parseDeparturesWrite(const HttpResponse &response,
+                                                              const ServerId &daemon) const = 0;
+
     /** @return the request that lists orders of roll-outs, one page. @param after As above. */
     virtual HttpRequest listRolloutsRequest(const std::string &after) const = 0;
     /** @return the page in the response to listRolloutsRequest, or an error. */
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -111,6 +111,8 @@
     , m_quotas(m_settings.self, loop.now())
     , m_storeClient(loop, m_settings.store)
     , m_watchClient(loop, m_settings.store)
+    , m_departures(loop, adapter, m_settings.self.name, m_settings.store, m_log, m_metrics, *this,
+                   seedOf(m_settings) + 4)
 {
     m_log.setIdentity(m_settings.self.name.text(), m_settings.self.dataCentre.text());
     if (m_settings.rollouts)
@@ -125,9 +127,12 @@
 Result<void> ProxyNode::start()
 {
     BOOST_OUTCOME_TRY(m_links.listen());
-    BOOST_OUTCOME_TRY(reports, HttpService::listen(
-                                   m_loop, m_settings.listen.reports,
-                                   [this](const HttpRequest &r) { return handleServerNotice(r); }));
+    BOOST_OUTCOME_TRY(reports,
+                      HttpService::listenDeferring(
+                          m_loop, m_settings.listen.reports,
+                          [this](const HttpRequest &request, const HttpService::Reply &reply) {
+                              handleServerNotice(request, reply);
+                          }));
     m_reportService = std::move(reports);
     BOOST_OUTCOME_TRY(
         ready, HttpService::listen(m_loop, m_settings.listen.ready, [this](const HttpRequest &r) {
@@ -163,6 +168,7 @@
     m_startedAt = m_loop.now();
     perform(m_replicator.start(m_loop.now()));
     perform(m_discovery.start());
+    m_departures.start();
     tick();
     return success();
 }
@@ -193,6 +199,7 @@
     const SettingsChange change = applySettings(m_settings, settings.value());
     m_storeClient.setAddress(m_settings.store);
     m_watchClient.setAddress(m_settings.store);
+    m_departures.setStore(m_settings.store);
     if (m_rollouts)
         m_rollouts->watchClient.setAddress(m_settings.store);
     m_budget.setOptions(m_settings.retryBudget);
@@ -218,12 +225,6 @@
     m_metrics.set("store_age_ms", "", static_cast<double>(m_replicator.storeAge(m_loop.now()).ms));
 }
 
-void ProxyNode::releaseStartupReport()
-{
-    if (const auto report = m_startupReports.release(m_loop.now()))
-        m_hostCalls.handleReport(*report);
-}
-
 /** Logs when what arrives waits long to be read, and when that is over. */
 void ProxyNode::recordLoopLag(TimePoint now)
 {
@@ -243,6 +244,7 @@
     const TimePoint now = m_loop.now();
     recordLoopLag(now);
     releaseStartupReport();
+    m_departures.tick();
     m_budget.setDaemonCount(m_peers.responsiveDaemonCount(now));
     m_links.tick();
     m_hostCalls.tick();
@@ -310,28 +312,6 @@
     return response;
 }
 
-HttpResponse ProxyNode::handleServerNotice(const HttpRequest &request)
-{
-    const Result<ServerNotice> notice = m_adapter.parseServerNotice(request);
-    if (!notice) {
-        m_log.logStateChange("report_refused", [&](LogFields &fields) {
-            fields.add("code", std::int64_t{resultCodeNumber(notice.error().code)});
-            fields.add("detail", notice.error().detail);
-            fields.add("target", request.path);
-        });
-        HttpResponse errorResponse;
-        errorResponse.status = 400;
-        return errorResponse;
-    }
-    const ServerReport &report = notice.value().report;
-    if (notice.value().isDeregistration)
-        m_hostCalls.handleDeregistration(report);
-    else if (report.address.ip == m_settings.server.ip
-             && !m_startupReports.hold(report, m_loop.now()))
-        m_hostCalls.handleReport(report);
-    return m_adapter.acknowledgement();
-}
-
 Result<void> runProxyNode(const PlatformAdapter &adapter, const std::string &settingsPath)
 {
     BOOST_OUTCOME_TRY(text, readFile(settingsPath, ResultCode::SettingsUnreadable));
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -13,6 +13,7 @@
 #include "node/body_transfers.h"
 #include "node/bulk_writer.h"
 #include "node/caller_session.h"
+#include "node/departure_recorder.h"
 #include "node/host_call_executor.h"
 #include "node/http_service.h"
 #include "node/loop_lag.h"
@@ -43,7 +44,10 @@
 
 /** One daemon: listeners, links, store clients, and the classes whose actions it performs
  * (Dispatcher, RouteReplicator, PeerDiscovery). */
-class ProxyNode : private CallerSessionOwner, private HostCallListener, private PeerLinksListener
+class ProxyNode : private CallerSessionOwner,
+                  private HostCallListener,
+                  private PeerLinksListener,
+                  private DepartureRecorderListener
 {
 public:
     /**
@@ -149,7 +153,11 @@
     void requestEnded(unsigned rank) override { m_nestedRoutes.recordEnd(rank, m_loop.now()); }
     void requestMeasured(const std::string &route, HostFinish finish, Duration time,
                          bool nestedFailure) override;
-    HttpResponse handleServerNotice(const HttpRequest &request);
+    void handleServerNotice(const HttpRequest &request, const HttpService::Reply &reply);
+    void acknowledgeDeparture(const ServerReport &report, const HttpService::Reply &reply);
+    void departuresKnown(const Departures &departures) override;
+    void recordServerState();
+    void releaseStartupReport();
     HttpResponse handleReadinessCheck(const HttpRequest &request);
 
     // Peers.
@@ -231,7 +239,6 @@
     void recordLoopLag(TimePoint now);
     void setLoopMetrics();
     void checkSettingsFile(TimePoint now);
-    void releaseStartupReport();
     void checkShutdown();
     bool isQuiet() const;
     void logLifecycleEvent(const char *event);
@@ -273,6 +280,7 @@
     QuotaParts m_quotas;
     StoreClient m_storeClient;
     StoreClient m_watchClient;
+    DepartureRecorder m_departures;
     std::unique_ptr<NodeRollouts> m_rollouts; ///< Null unless the settings ask for roll-outs.
     std::unique_ptr<TcpListener> m_callListener;
     std::unique_ptr<HttpService> m_readyService;
--- /dev/null
+++ b/src/node/proxy_node_notices.cpp
@@ -0,0 +1,97 @@
+/** @file proxy_node_notices.cpp Reports and deregistrations of the local server. */
+#include "node/proxy_node.h"
+
+#include "base/result_code_func.h"
+
+#include <algorithm>
+
+namespace cornelwell {
+
+namespace {
+
+constexpr int BAD_REQUEST = 400;
+constexpr int UNAVAILABLE = 503;
+
+HttpResponse emptyResponse(int status)
+{
+    HttpResponse response;
+    response.status = status;
+    return response;
+}
+
+} // namespace
+
+void ProxyNode::releaseStartupReport()
+{
+    if (const auto report = m_startupReports.release(m_loop.now()))
+        m_hostCalls.handleReport(*report);
+}
+
+void ProxyNode::handleServerNotice(const HttpRequest &request, const HttpService::Reply &reply)
+{
+    const Result<ServerNotice> notice = m_adapter.parseServerNotice(request);
+    if (!notice) {
+        m_log.logStateChange("report_refused", [&](LogFields &fields) {
+            fields.add("code", std::int64_t{resultCodeNumber(notice.error().code)});
+            fields.add("detail", notice.error().detail);
+            fields.add("target", request.path);
+        });
+        reply(emptyResponse(BAD_REQUEST));
+        return;
+    }
+    const ServerReport &report = notice.value().report;
+    if (notice.value().isDeregistration) {
+        acknowledgeDeparture(report, reply);
+        m_hostCalls.handleDeregistration(report);
+        return;
+    }
+    if (report.draining)
+        acknowledgeDeparture(report, reply);
+    if (report.address.ip == m_settings.server.ip && !m_startupReports.hold(report, m_loop.now()))
+        m_hostCalls.handleReport(report);
+    if (!report.draining)
+        reply(m_adapter.acknowledgement());
+}
+
+/**
+ * Answers a notice that ends a server's use once the store holds the departure: an acknowledgement
+ * binds also after a restart of all daemons. A departure of an unknown server beside a registered
+ * one is not stored, since the registered one outranks its late reports.
+ */
+void ProxyNode::acknowledgeDeparture(const ServerReport &report, const HttpService::Reply &reply)
+{
+    const HostLoad load = m_hostCalls.load();
+    const bool isRegistered = report.instance == load.instance;
+    if (!isRegistered && !load.instance.empty() && load.state == HostState::Ready) {
+        reply(m_adapter.acknowledgement());
+        return;
+    }
+    Departure departure{report.instance, report.startTimeMs};
+    if (isRegistered && departure.startTimeMs == 0)
+        departure.startTimeMs = load.startTimeMs;
+    m_departures.record(departure, isRegistered);
+    m_departures.whenStored(departure, [this, reply](bool isStored) {
+        reply(isStored ? m_adapter.acknowledgement() : emptyResponse(UNAVAILABLE));
+    });
+}
+
+/** Records that the registered server leaves, however this daemon has learnt it, or is ready. */
+void ProxyNode::recordServerState()
+{
+    const HostLoad load = m_hostCalls.load();
+    if (load.state == HostState::Draining)
+        m_departures.record({load.instance, load.startTimeMs}, true);
+    else if (load.state == HostState::Ready)
+        m_departures.serverReady(load.instance, load.startTimeMs);
+}
+
+void ProxyNode::departuresKnown(const Departures &departures)
+{
+    for (const Departure &departure : departures)
+        m_hostCalls.handleRestrictions(m_settings.self.name,
+                                       {departure.instance, departure.startTimeMs, true, 0});
+    m_startupReports.recordRead();
+    releaseStartupReport();
+}
+
+} // namespace cornelwell
--- a/src/node/proxy_node_peers.cpp
+++ b/src/node/proxy_node_peers.cpp
@@ -26,6 +26,7 @@
 {
     if (m_rollouts)
         updateOwnServer();
+    recordServerState();
     m_links.announceState();
 }
 
@@ -80,8 +81,6 @@
         fields.add("peer", name.text());
         fields.add("restarted", std::int64_t{restarted ? 1 : 0});
     });
-    m_startupReports.peerHeard();
-    releaseStartupReport();
     sendCrashReports(name, m_quarantine.reportsForPeer(now));
     updateQuotaFleet();
     perform(m_dispatcher.linkOpened(name, restarted, now));
@@ -126,7 +125,11 @@
 
 void ProxyNode::restrictionsTold(const ServerId &peer, const ServerRestrictions &restrictions)
 {
+    if (restrictions.instance.empty())
+        return;
     m_hostCalls.handleRestrictions(peer, restrictions);
+    m_startupReports.witnessHeard(peer);
+    releaseStartupReport();
 }
 
 void ProxyNode::handlePeerAnswer(const ServerId &name, LinkMessage message)
--- a/src/node/proxy_node_store.cpp
+++ b/src/node/proxy_node_store.cpp
@@ -48,6 +48,7 @@
     if (verdict == EraVerdict::Outdated)
         return false;
     m_discovery.handleStoreRestored(m_loop.now());
+    m_departures.handleStoreRestored();
     if (m_rollouts)
         m_rollouts->watch.handleStoreRestored();
     // Later than the answer that brought the era, which the replicator handles first.
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -498,3 +498,46 @@
     versioned["version"] = "v2";
     CHECK(PLATFORM.parseServerNotice(put(path, versioned.dump())).value().report.version == "v2");
 }
+
+TEST_CASE("departures are written to the status of the daemon's object and read from it",
+          "[adapter]")
+{
+    const ServerId daemon("vm");
+    CHECK(PLATFORM.readDeparturesRequest(daemon).path == "/api/objects/cornelwell-daemons/vm");
+    const HttpRequest write = PLATFORM.writeDeparturesRequest(daemon, {7, {{"i\xff", 10}}});
+    CHECK(write.method == "PUT");
+    CHECK(write.path == "/api/objects/cornelwell-daemons/vm/status");
+    CHECK(Json::parse(write.body)["meta"]["revision"] == 7);
+    HttpResponse response;
+    response.status = 200;
+    const auto body = [](const std::string &name, const std::string &left) {
+        return R"({"meta":{"name":"vm","revision":8},"spec":{"daemon":")" + name
+               + R"("},"status":{"left":)" + left + "}}";
+    };
+    response.body
+        = body("vm", R"([{"server":"a","start":10},{"server":7},5,{"server":"b","start":-1}])");
+    const auto read = PLATFORM.parseDeparturesRead(response, daemon);
+    REQUIRE(read);
+    CHECK(read.value().revision == 8);
+    CHECK(read.value().departures == Departures{{"a", 10}});
+    CHECK(read.value().faults.size() == 3);
+    const auto answer = PLATFORM.parseDeparturesWrite(response, daemon);
+    REQUIRE(answer);
+    CHECK(answer.value().written);
+    response.status = 409;
+    CHECK_FALSE(PLATFORM.parseDeparturesWrite(response, daemon).value().written);
+    response.status = 404;
+    CHECK(PLATFORM.parseDeparturesRead(response, daemon).value().revision == 0);
+    CHECK(PLATFORM.parseDeparturesWrite(response, daemon).value().stored.revision == 0);
+    // An object that another writer has left under the daemon's name tells no departures.
+    response.status = 200;
+    for (const std::string &odd :
+         {body("other", R"([{"server":"a","start":10}])"), body("vm", R"({"server":"a"})")}) {
+        response.body = odd;
+        const auto foreign = PLATFORM.parseDeparturesRead(response, daemon);
+        REQUIRE(foreign);
+        CHECK(foreign.value().departures.empty());
+        CHECK(foreign.value().revision == 8);
+        CHECK(foreign.value().faults.size() == 1);
+    }
+}
--- /dev/null
+++ b/tests/vm_site.cpp
@@ -0,0 +1,270 @@
+/** @file vm_site.cpp A daemon on loopback sockets with a server and a store. */
+#include "vm_site.h"
+
+#include "base/endpoint_func.h"
+#include "platform/object_platform.h"
+
+#include <catch2/catch.hpp>
+
+namespace cornelwell {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *SERVER_IP = "127.0.0.2";
+constexpr const char *DAEMONS_PATH = "/api/objects/cornelwell-daemons";
+constexpr int CALLS = 1; ///< Offsets of the ports.
+constexpr int READY = 2;
+constexpr int CONTROL = 3;
+constexpr int STORE = 4;
+constexpr int SERVER = 5;
+constexpr int METRICS = 6;
+const ObjectPlatform PLATFORM;
+
+HttpResponse jsonResponse(int status, const Json &body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = body.dump();
+    return response;
+}
+
+HttpResponse emptyResponse(int status)
+{
+    HttpResponse response;
+    response.status = status;
+    return response;
+}
+
+Json routes()
+{
+    return {{"version", "00000003"},
+            {"routes",
+             {{{"name", "near"},
+               {"host", "h"},
+               {"path-prefix", "/near/"},
+               {"kind", "idempotent"},
+               {"timeout-ms", 2500},
+               {"service", "near"},
+               {"max-attempts", 1}}}},
+            {"services", {{{"name", "near"}}, {{"name", "far"}}}}};
+}
+
+} // namespace
+
+VmSite::VmSite(std::uint16_t port) : m_port(port)
+{
+    auto store = HttpService::listen(m_loop, at(STORE),
+                                     [this](const HttpRequest &r) { return this->store(r); });
+    REQUIRE(store);
+    m_store = std::move(store.value());
+    auto server = HttpService::listen(m_loop, {SERVER_IP, at(SERVER).port},
+                                      [this](const HttpRequest &r) { return serve(r); });
+    REQUIRE(server);
+    m_server = std::move(server.value());
+}
+
+Endpoint VmSite::at(int offset) const
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(m_port + offset)};
+}
+
+std::string VmSite::local(int offset) const
+{
+    return formatEndpoint(at(offset));
+}
+
+std::string VmSite::serverAddress() const
+{
+    return std::string(SERVER_IP) + ":" + std::to_string(m_port + SERVER);
+}
+
+void VmSite::startDaemon()
+{
+    const Json settings
+        = {{"self",
+            {{"node-name", "vm"},
+             {"ip", "127.0.0.1"},
+             {"zone", "east"},
+             {"service", "near"},
+             {"app-addr", serverAddress()}}},
+           {"network",
+            {{"listen-addrs",
+              {{"outbound", local(CALLS)}, {"ready", local(READY)}, {"control", local(CONTROL)}}},
+             {"internal-ports", {m_port, m_port}}}},
+           {"platform", {{"platform", {{"address", local(STORE)}}}}}};
+    NodeSettings parsed = PLATFORM.settings(settings.dump()).value();
+    parsed.self.incarnation = ++m_incarnation;
+    parsed.listen.metrics = at(METRICS);
+    m_daemon = std::make_unique<ProxyNode>(m_loop, PLATFORM, parsed, "/nonexistent");
+    REQUIRE(m_daemon->start());
+}
+
+void VmSite::killDaemon()
+{
+    m_daemon.reset();
+}
+
+Json VmSite::reportBody(std::int64_t startTimeMs, std::uint64_t sequence) const
+{
+    return {{"service", "near"},   {"address", serverAddress()},
+            {"zone", "east"},      {"version", "v1"},
+            {"slots", 4},          {"state", "ready"},
+            {"warmup-left-ms", 0}, {"sequence", sequence},
+            {"born", startTimeMs}};
+}
+
+int VmSite::report(const std::string &instance, std::int64_t startTimeMs, std::uint64_t sequence,
+                   const std::string &state)
+{
+    Json body = reportBody(startTimeMs, sequence);
+    body["state"] = state;
+    return sendReport(instance, body);
+}
+
+int VmSite::sendReport(const std::string &instance, const Json &body)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/api/instances/" + instance;
+    request.body = body.dump();
+    return send(CONTROL, request);
+}
+
+int VmSite::deregister(const std::string &instance, const std::string &body)
+{
+    HttpRequest request;
+    request.method = "DELETE";
+    request.path = "/api/instances/" + instance;
+    request.body = body;
+    return send(CONTROL, request);
+}
+
+int VmSite::deregisterUntil(int status, const std::string &instance)
+{
+    int last = 0;
+    for (int i = 0; i < 20 && last != status; i++)
+        last = deregister(instance);
+    return last;
+}
+
+int VmSite::ask()
+{
+    HttpRequest request;
+    request.path = "/near/x";
+    request.headers.add("Host", "h");
+    request.headers.add("Cornelwell-Try-Id", "t" + std::to_string(++m_lastId));
+    return send(CALLS, request);
+}
+
+int VmSite::askUntil(int status)
+{
+    int last = 0;
+    for (int i = 0; i < 80 && last != status; i++) {
+        last = ask();
+        if (last != status)
+            pause({50});
+    }
+    return last;
+}
+
+bool VmSite::readyAfter(Duration time)
+{
+    HttpRequest request;
+    request.path = "/api/ready";
+    for (std::int64_t waited = 0; waited < time.ms; waited += 50) {
+        if (send(READY, request) == 200)
+            return true;
+        pause({50});
+    }
+    return false;
+}
+
+std::string VmSite::metrics()
+{
+    HttpRequest request;
+    request.path = "/metrics";
+    std::string body;
+    send(METRICS, request, &body);
+    return body;
+}
+
+void VmSite::pause(Duration time)
+{
+    m_loop.after(time, [this] { m_loop.stop(); });
+    m_loop.run();
+}
+
+int VmSite::send(int offset, const HttpRequest &request, std::string *body)
+{
+    StoreClient client(m_loop, at(offset));
+    int status = 0;
+    client.call(request, seconds(3), [&](const Result<HttpResponse> &response) {
+        // The client takes 429 and 503 for a store that turns it away.
+        const bool refused = !response && response.error().detail.find("503") != std::string::npos;
+        status = response ? response.value().status : refused ? 503 : 599;
+        if (response && body != nullptr)
+            *body = response.value().body;
+        m_loop.stop();
+    });
+    m_loop.run();
+    return status;
+}
+
+HttpResponse VmSite::serve(const HttpRequest &request)
+{
+    HttpResponse response;
+    response.headers.add("Cornelwell-Try-Id",
+                         std::string(request.headers.get("Cornelwell-Try-Id")));
+    const std::string expected(request.headers.get("Cornelwell-Expect-Instance"));
+    if (!instanceAtServer.empty() && expected != instanceAtServer) {
+        response.status = 421;
+        response.headers.add("Cornelwell-Instance-Id", instanceAtServer);
+        return response;
+    }
+    served++;
+    response.headers.add("Cornelwell-Server-Seal", "s");
+    return response;
+}
+
+/** Watches are refused, so that the daemon polls with reads. */
+HttpResponse VmSite::store(const HttpRequest &request)
+{
+    if (storeDown || request.path.find("watch=") != std::string::npos)
+        return emptyResponse(503);
+    if (request.path.rfind(DAEMONS_PATH, 0) == 0 && request.method != "GET")
+        return writeDaemon(request);
+    const std::string prefix = std::string(DAEMONS_PATH) + "/";
+    if (request.path.rfind(prefix, 0) == 0) {
+        const auto found = daemons.find(request.path.substr(prefix.size()));
+        return found == daemons.end() ? emptyResponse(404) : jsonResponse(200, found->second);
+    }
+    Json items = Json::array();
+    if (request.path.find("/config") != std::string::npos)
+        items.push_back({{"meta", {{"name", "main"}, {"revision", 1}}}, {"spec", routes()}});
+    else
+        for (const auto &[name, object] : daemons)
+            items.push_back(object);
+    return jsonResponse(200,
+                        {{"items", items}, {"has-more", false}, {"store-revision", m_revision}});
+}
+
+HttpResponse VmSite::writeDaemon(const HttpRequest &request)
+{
+    const Json body = Json::parse(request.body);
+    const std::string name = body["meta"]["name"];
+    const auto found = daemons.find(name);
+    if (request.method == "POST" ? found != daemons.end() : found == daemons.end())
+        return found == daemons.end() ? emptyResponse(404) : jsonResponse(409, found->second);
+    if (request.method == "PUT" && body["meta"].contains("revision")
+        && body["meta"]["revision"] != found->second["meta"]["revision"])
+        return jsonResponse(409, found->second);
+    Json &object = daemons[name];
+    const char *part = body.contains("status") ? "status" : "spec";
+    object[part] = body[part];
+    object["meta"] = {{"name", name}, {"revision", ++m_revision}};
+    return jsonResponse(200, object);
+}
+
+} // namespace cornelwell
--- /dev/null
+++ b/tests/vm_site.h
@@ -0,0 +1,75 @@
+/** @file vm_site.h A daemon on loopback sockets, with its local server and a store that keeps
+ * objects over restarts of the daemon. */
+#pragma once
+
+#include "node/http_service.h"
+#include "node/proxy_node.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cornelwell {
+
+/** One VM: restarts of its daemon lose the daemon's memory; the store and the server go on. */
+class VmSite
+{
+public:
+    /** @param port First of the ports that the site uses. */
+    explicit VmSite(std::uint16_t port);
+
+    /** Starts a daemon with a new incarnation. */
+    void startDaemon();
+    /** Ends the daemon at once. */
+    void killDaemon();
+
+    /** Sends a report of a server to the daemon. @return the status of the answer. */
+    int report(const std::string &instance, std::int64_t startTimeMs, std::uint64_t sequence,
+               const std::string &state = "ready");
+    /** Sends the body of a report. @return the status of the answer. */
+    int sendReport(const std::string &instance, const nlohmann::json &body);
+    /** @return the body of a sound report of the local server. */
+    nlohmann::json reportBody(std::int64_t startTimeMs, std::uint64_t sequence) const;
+    /** Deregisters a server, once. @return the status of the answer. */
+    int deregister(const std::string &instance, const std::string &body = {});
+    /** Deregisters a server until the status comes. @return the last status. */
+    int deregisterUntil(int status, const std::string &instance);
+    /** Sends a caller's request. @return the status of the answer. */
+    int ask();
+    /** Asks until the status comes. @return the last status. */
+    int askUntil(int status);
+    /** @return true when the daemon becomes ready within the time. */
+    bool readyAfter(Duration time);
+    /** Runs the loop for some time. */
+    void pause(Duration time);
+    /** @return address of the local server. */
+    std::string serverAddress() const;
+    /** @return the text of the daemon's metrics. */
+    std::string metrics();
+
+    bool storeDown = false;       ///< The store refuses all calls.
+    std::string instanceAtServer; ///< The identity that the server has; empty: any.
+    unsigned served = 0;          ///< Requests that the server has run.
+    std::map<std::string, nlohmann::json> daemons; ///< Objects of the kind of daemons.
+
+private:
+    Endpoint at(int offset) const;
+    std::string local(int offset) const;
+    int send(int offset, const HttpRequest &request, std::string *body = nullptr);
+    HttpResponse serve(const HttpRequest &request);
+    HttpResponse store(const HttpRequest &request);
+    HttpResponse writeDaemon(const HttpRequest &request);
+
+    const std::uint16_t m_port;
+    EventLoop m_loop;
+    std::unique_ptr<HttpService> m_store;
+    std::unique_ptr<HttpService> m_server;
+    std::unique_ptr<ProxyNode> m_daemon;
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_revision = 1;
+    unsigned m_lastId = 0;
+};
+
+} // namespace cornelwell
