Fix: a report of another writer leaves a sound server in use

Cause: a report was checked for the IP number of its address only. Then the later start won, whatever the identifier, and the sound server's reports counted as earlier ones, for good.

Ruled out with the log of a failing run on (`server` with the other writer's identifier and state `ready`): that the report was set aside but its address or service taken over, and that calls were refused for their service.

Change: a report counts only when it is whole, of the service and at the address that the settings name. Same cause on related paths: deregistrations that cannot be read, fields of another type, identifiers of any bytes, hundreds of deregistrations of unknown servers, entries of the daemons' list that name another daemon.

Why it works: what cannot be of the VM's server never reaches the comparison, and what can outranks the server for seconds, not for good.

A test's report is whole now.

--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -49,21 +49,6 @@
                                            : startTimeMs <= deregistration.startTimeMs;
 }
 
-bool HostScheduler::isCurrent(const ServerReport &report, TimePoint now) const
-{
-    if (isDeregistered(report.instance, report.startTimeMs, now))
-        return false;
-    if (m_server.instance.empty())
-        return true;
-    if (report.startTimeMs != m_server.startTimeMs)
-        return report.startTimeMs > m_server.startTimeMs;
-    // A server that leaves does not come back without a restart, whatever a late report says.
-    if (m_state == HostState::Draining && !report.draining && report.startTimeMs != 0
-        && report.instance == m_server.instance)
-        return false;
-    return report.instance != m_server.instance || report.sequence > m_server.sequence;
-}
-
 /** Forgets what was learnt of the registered server, for another one. */
 void HostScheduler::resetServer(TimePoint now)
 {
@@ -117,8 +102,12 @@
 
 HostDecisions HostScheduler::handleReport(const ServerReport &report, TimePoint now)
 {
-    if (!isCurrent(report, now))
+    m_reportVerdict = isDeregistered(report.instance, report.startTimeMs, now)
+                          ? ReportVerdict::Departed
+                          : m_reportOrder.judge(report, m_server, m_state, now);
+    if (m_reportVerdict != ReportVerdict::Current)
         return {};
+    m_reportOrder.recordCurrent(now);
     const bool isOther
         = report.instance != m_server.instance || report.startTimeMs != m_server.startTimeMs;
     if (isOther)
@@ -142,20 +131,29 @@
     return startQueued(now);
 }
 
+/** Drops the oldest deregistration, first of those of servers that were never registered here. */
+void HostScheduler::dropDeregistration()
+{
+    const auto isDroppedBefore = [](const auto &a, const auto &b) {
+        return std::pair(a.second.wasRegistered, a.second.recordedAt)
+               < std::pair(b.second.wasRegistered, b.second.recordedAt);
+    };
+    m_deregistrations.erase(
+        std::min_element(m_deregistrations.begin(), m_deregistrations.end(), isDroppedBefore));
+}
+
 HostDecisions HostScheduler::handleDeregistration(const std::string &instance,
                                                   std::int64_t startTimeMs, TimePoint now)
 {
     const bool current = instance == m_server.instance
                          && (startTimeMs == 0 || startTimeMs >= m_server.startTimeMs);
     if (m_deregistrations.size() >= DEREGISTRATIONS_MAX)
-        m_deregistrations.erase(std::min_element(
-            m_deregistrations.begin(), m_deregistrations.end(), [](const auto &a, const auto &b) {
-                return a.second.recordedAt < b.second.recordedAt;
-            }));
+        dropDeregistration();
     Deregistration &kept = m_deregistrations[instance];
     kept.startTimeMs
         = std::max({kept.startTimeMs, startTimeMs, current ? m_server.startTimeMs : 0});
     kept.recordedAt = now;
+    kept.wasRegistered = kept.wasRegistered || current;
     if (!current)
         return {};
     m_state = HostState::Draining;
@@ -173,6 +171,7 @@
 HostDecisions HostScheduler::handleInstanceChanged(TimePoint now)
 {
     (void)now;
+    m_reportOrder.recordDisproved(m_server);
     m_state = HostState::None;
     return refuseQueued(HostReason::InstanceChanged);
 }
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -6,6 +6,7 @@
 #include "hosting/concurrency_controller.h"
 #include "hosting/hosting_type.h"
 #include "hosting/rate_limiter.h"
+#include "hosting/report_order.h"
 
 #include <algorithm>
 #include <map>
@@ -54,9 +55,11 @@
 
     /**
      * Handles a report of the local server.
-     * @return decisions about queued calls; none when the report is outdated.
+     * @return decisions about queued calls; none when the report is set aside.
      */
     HostDecisions handleReport(const ServerReport &report, TimePoint now);
+    /** @return what became of the last report. */
+    ReportVerdict reportVerdict() const { return m_reportVerdict; }
     /**
      * Handles a deregistration; the server gets no more calls.
      * @param instance The server.
@@ -162,9 +165,10 @@
     {
         std::int64_t startTimeMs = 0; ///< Latest start that is deregistered; 0: all starts.
         TimePoint recordedAt{0};
+        bool wasRegistered = false; ///< The server was registered here.
     };
 
-    bool isCurrent(const ServerReport &report, TimePoint now) const;
+    void dropDeregistration();
     bool isDeregistered(const std::string &instance, std::int64_t startTimeMs, TimePoint now) const;
     bool isRegistered(const ServerRestrictions &restrictions) const;
     void resetServer(TimePoint now);
@@ -187,7 +191,9 @@
 
     const HostSchedulerOptions m_options;
     const OutputScheduler *m_link = nullptr;
-    ServerReport m_server;          ///< Latest report of the registered server.
+    ServerReport m_server; ///< Latest report of the registered server.
+    ReportOrder m_reportOrder;
+    ReportVerdict m_reportVerdict = ReportVerdict::Current; ///< See reportVerdict().
     ServerAdvisory m_advisory;      ///< Advisory of the registered server that is in force.
     TimePoint m_limitNamedAt{0};    ///< When an answer, or a peer, last named the limit.
     bool m_advisoryHeard = false;   ///< The registered server has answered this daemon.
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -66,6 +66,7 @@
     const HostLoad before = load();
     const HostDecisions decisions = m_scheduler.handleReport(report, m_loop.now());
     const HostLoad after = load();
+    m_listener.reportHandled(report, m_scheduler.reportVerdict());
     if (before.instance != after.instance)
         m_pool.closeIdle();
     if (before.instance != after.instance || before.state != after.state) {
--- a/src/node/host_call_executor.h
+++ b/src/node/host_call_executor.h
@@ -43,6 +43,11 @@
     virtual void bodyGranted(const CallOrigin &origin, std::uint64_t bytes) = 0;
     /** A request broke off shortly before the server went down. */
     virtual void requestSuspectedOfCrash(std::uint64_t fingerprint, const std::string &route) = 0;
+    /** A report of the local server was handled or set aside. */
+    virtual void reportHandled(const ServerReport &report, ReportVerdict verdict)
+    {
+        (void)report, (void)verdict;
+    }
     /** The local server ended a request. @param rank Rank of the request. */
     virtual void requestEnded(unsigned rank) { (void)rank; }
     /**
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -88,6 +88,7 @@
     , m_settings(std::move(settings))
     , m_settingsFile(std::move(settingsPath))
     , m_log(loop.clock(), DecisionLogOptions())
+    , m_serverNotices(m_log, m_metrics)
     , m_peers(m_settings.self, PeerOptions())
     , m_budget(m_settings.retryBudget)
     , m_quarantine(quarantineOptions())
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -22,6 +22,7 @@
 #include "node/platform_adapter.h"
 #include "node/quota_parts.h"
 #include "node/recent_failures.h"
+#include "node/server_notice_log.h"
 #include "node/settings_change.h"
 #include "node/shutdown_schedule.h"
 #include "node/store_client.h"
@@ -148,6 +149,7 @@
     // The local server.
     void callCompleted(const CallOrigin &origin, const HostOutcome &outcome) override;
     void serverStateChanged() override;
+    void reportHandled(const ServerReport &report, ReportVerdict verdict) override;
     void requestSuspectedOfCrash(std::uint64_t fingerprint, const std::string &route) override;
     void bodyGranted(const CallOrigin &origin, std::uint64_t bytes) override;
     void requestEnded(unsigned rank) override { m_nestedRoutes.recordEnd(rank, m_loop.now()); }
@@ -251,6 +253,7 @@
     TimePoint m_nextSettingsCheck{0};
     DecisionLog m_log;
     Metrics m_metrics;
+    ServerNoticeLog m_serverNotices;
     PeerTable m_peers;
     ServiceRetryBudget m_budget;
     Quarantine m_quarantine;
--- a/src/node/proxy_node_notices.cpp
+++ b/src/node/proxy_node_notices.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+void ProxyNode::reportHandled(const ServerReport &report, ReportVerdict verdict)
+{
+    m_serverNotices.record(report, verdict, m_loop.now());
+}
+
 void ProxyNode::releaseStartupReport()
 {
     if (const auto report = m_startupReports.release(m_loop.now()))
@@ -31,6 +36,7 @@
 {
     const Result<ServerNotice> notice = m_adapter.parseServerNotice(request);
     if (!notice) {
+        m_metrics.count("server_notices_unreadable_total", "");
         m_log.logStateChange("report_refused", [&](LogFields &fields) {
             fields.add("code", std::int64_t{resultCodeNumber(notice.error().code)});
             fields.add("detail", notice.error().detail);
@@ -45,9 +51,16 @@
         m_hostCalls.handleDeregistration(report);
         return;
     }
+    const ReportVerdict origin
+        = checkReportOrigin(report, m_settings.self.service, m_settings.server);
+    if (origin != ReportVerdict::Current) {
+        m_serverNotices.record(report, origin, m_loop.now());
+        reply(emptyResponse(BAD_REQUEST));
+        return;
+    }
     if (report.draining)
         acknowledgeDeparture(report, reply);
-    if (report.address.ip == m_settings.server.ip && !m_startupReports.hold(report, m_loop.now()))
+    if (!m_startupReports.hold(report, m_loop.now()))
         m_hostCalls.handleReport(report);
     if (!report.draining)
         reply(m_adapter.acknowledgement());
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -44,8 +44,11 @@
 
 Json report()
 {
-    return {{"service", "desk"}, {"address", "10.1.0.3:8147"}, {"zone", "east"}, {"slots", 9},
-            {"state", "ready"},  {"warmup-left-ms", 700},      {"sequence", 4},  {"born", 1000}};
+    return {{"service", "desk"}, {"address", "10.1.0.3:8147"},
+            {"zone", "east"},    {"version", "v1"},
+            {"slots", 9},        {"state", "ready"},
+            {"sequence", 4},     {"warmup-left-ms", 700},
+            {"born", 1000}};
 }
 
 Json document()
@@ -144,10 +147,13 @@
     deregistration.method = "DELETE";
     deregistration.path = path;
     CHECK(PLATFORM.parseServerNotice(deregistration).value().isDeregistration);
-    for (const char *key : {"service", "address", "slots", "state", "sequence"}) {
+    for (const char *key : {"service", "address", "zone", "version", "slots", "state", "sequence",
+                            "warmup-left-ms", "born"}) {
         Json bad = report();
         bad.erase(key);
-        CHECK_FALSE(PLATFORM.parseServerNotice(put(path, bad.dump())));
+        // A server of an earlier platform names no start.
+        CHECK(PLATFORM.parseServerNotice(put(path, bad.dump())).has_value()
+              == (key == std::string("born")));
         bad[key] = Json::array();
         CHECK_FALSE(PLATFORM.parseServerNotice(put(path, bad.dump())));
     }
@@ -156,7 +162,19 @@
     CHECK_FALSE(PLATFORM.parseServerNotice(put(path, unknownState.dump())));
     CHECK_FALSE(PLATFORM.parseServerNotice(put(path, "\x80\xff")));
     CHECK_FALSE(PLATFORM.parseServerNotice(put(path, std::string(5000, ' '))));
-    CHECK_FALSE(PLATFORM.parseServerNotice(put("/api/instances/", report().dump())));
+    for (const std::string &instance :
+         {std::string(), std::string("\xff"), std::string("a b"), std::string(257, 'a')}) {
+        CHECK_FALSE(PLATFORM.parseServerNotice(put("/api/instances/" + instance, report().dump())));
+        deregistration.path = "/api/instances/" + instance;
+        CHECK_FALSE(PLATFORM.parseServerNotice(deregistration));
+    }
+    deregistration.path = path;
+    for (const char *odd : {"\x80\xff", "7", "[]", R"({"born":"1"})", R"({"born":-1})"}) {
+        deregistration.body = odd;
+        CHECK_FALSE(PLATFORM.parseServerNotice(deregistration));
+    }
+    deregistration.body = R"({"born":1000})";
+    CHECK(PLATFORM.parseServerNotice(deregistration).value().report.startTimeMs == 1000);
 }
 
 TEST_CASE("the newest route document is read from lists and watches", "[adapter]")
@@ -318,6 +336,18 @@
     CHECK(page.value().daemons.size() == 1);
     CHECK(page.value().more);
     CHECK(page.value().last == "zz");
+    // An entry that names another daemon than its object must not move that daemon.
+    for (const char *key : {"daemon", "data_centre", "link", "service"}) {
+        Json bad = body["spec"];
+        bad[key] = key == std::string("daemon") ? Json("vm-2") : Json(7);
+        CHECK(PLATFORM.parseDaemonList(answer(200, {{"items", {object("vm-1", bad)}}}))
+                  .value()
+                  .daemons.empty());
+        bad.erase(key);
+        CHECK(PLATFORM.parseDaemonList(answer(200, {{"items", {object("vm-1", bad)}}}))
+                  .value()
+                  .daemons.empty());
+    }
 }
 
 // Guards against tenants that are read as others than the operator meant, or not at all.
@@ -486,14 +516,15 @@
     CHECK_FALSE(PLATFORM.parseRolloutWrite(answer(409, {})));
 }
 
-TEST_CASE("roll-outs are off unless the settings list them; a version may be missing", "[adapter]")
+TEST_CASE("roll-outs are off unless the settings list them; a server names its version",
+          "[adapter]")
 {
     CHECK_FALSE(PLATFORM.settings(settings().dump()).value().rollouts);
     Json listed = settings();
     listed["timers"]["contracts"] = {"budget", "rollout"};
     CHECK(PLATFORM.settings(listed.dump()).value().rollouts);
     const std::string path = "/api/instances/i-7";
-    CHECK(PLATFORM.parseServerNotice(put(path, report().dump())).value().report.version.empty());
+    CHECK(PLATFORM.parseServerNotice(put(path, report().dump())).value().report.version == "v1");
     Json versioned = report();
     versioned["version"] = "v2";
     CHECK(PLATFORM.parseServerNotice(put(path, versioned.dump())).value().report.version == "v2");
--- a/tests/foreign_entries_test.cpp
+++ b/tests/foreign_entries_test.cpp
@@ -215,11 +215,14 @@
     HttpRequest request;
     request.method = "PUT";
     request.path = "/api/instances/i-1";
-    request.body = R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":4,)"
-                   R"("sequence":1,"extra":)"
-                   + nested(1500) + "}";
+    const std::string fields
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","state":"ready",)"
+          R"("slots":4,"sequence":1,"warmup-left-ms":0,"extra":)";
+    request.body = fields + "1}";
+    CHECK(PLATFORM.parseServerNotice(request));
+    request.body = fields + nested(1500) + "}";
     CHECK_FALSE(PLATFORM.parseServerNotice(request));
     request.method = "DELETE";
     request.body = nested(1'000'000);
-    CHECK(PLATFORM.parseServerNotice(request));
+    CHECK_FALSE(PLATFORM.parseServerNotice(request));
 }
--- a/tests/tenant_path_test.cpp
+++ b/tests/tenant_path_test.cpp
@@ -163,8 +163,10 @@
         node = std::make_unique<ProxyNode>(loop, PLATFORM, parsed, "/nonexistent");
         REQUIRE(node->start());
         const Json report = {{"service", "near"}, {"address", serverAddress()},
+                             {"zone", "east"},    {"version", "v1"},
                              {"slots", 4},        {"state", "ready"},
-                             {"sequence", 1},     {"born", 1}};
+                             {"sequence", 1},     {"warmup-left-ms", 0},
+                             {"born", 1}};
         HttpRequest put;
         put.method = "PUT";
         put.path = "/api/instances/i1";
