Fix: silent connections do not shut the address for reports

Cause: the listener for reports and readiness keeps 64 connections, ended none that had fallen silent, and closed each further one at once. Connections may go silent without an end, so that in the end no report of a sound server arrives: the daemon then takes its server for gone after the next restart, and a server that leaves gets no acknowledgement.

Change: beyond 64 connections the one that has been silent longest ends.

Test: [node] "silent connections do not keep the reports of a sound server out" failed before (150 silent connections: no answer to a report, no answer to a deregistration) and passes now.

--- a/src/node/http_service.cpp
+++ b/src/node/http_service.cpp
@@ -4,11 +4,13 @@
 #include "exchange/message_func.h"
 #include "exchange/request_reader.h"
 
+#include <algorithm>
+
 namespace cornelwell {
 
 namespace {
 
-constexpr std::size_t MAX_SESSIONS = 64; ///< Further connections are closed.
+constexpr std::size_t MAX_SESSIONS = 64; ///< A further connection ends the one silent longest.
 constexpr RequestLimits LIMITS{16384, 1024 * 1024};
 
 } // namespace
@@ -18,15 +20,22 @@
 {
 public:
     Session(HttpService &service, TcpConnectionPtr connection)
-        : m_service(service), m_connection(std::move(connection)), m_reader(LIMITS)
+        : m_service(service)
+        , m_connection(std::move(connection))
+        , m_reader(LIMITS)
+        , m_lastReceivedAt(service.m_loop.now())
     {}
 
+    /** @return when bytes arrived last, or the connection was accepted. */
+    TimePoint lastReceivedAt() const { return m_lastReceivedAt; }
+
     void start() { m_connection->start(*this); }
 
     void close() { m_connection->close(); }
 
     void received(std::string_view bytes) override
     {
+        m_lastReceivedAt = m_service.m_loop.now();
         m_reader.feed(bytes);
         handleRequests();
     }
@@ -97,6 +106,7 @@
     HttpService &m_service;
     TcpConnectionPtr m_connection;
     RequestReader m_reader;
+    TimePoint m_lastReceivedAt;
     bool m_awaitsResponse = false; ///< A request was passed to the handler and not answered.
     bool m_isHandling = false;     ///< The handler runs, within handleRequests().
 };
@@ -137,8 +147,11 @@
 void HttpService::accept(TcpConnectionPtr connection)
 {
     if (m_sessions.size() >= MAX_SESSIONS) {
-        connection->close();
-        return;
+        const auto silent = std::min_element(
+            m_sessions.begin(), m_sessions.end(),
+            [](const auto &a, const auto &b) { return a->lastReceivedAt() < b->lastReceivedAt(); });
+        (*silent)->close();
+        m_sessions.erase(silent);
     }
     const auto session = std::make_shared<Session>(*this, std::move(connection));
     m_sessions.insert(session);
--- a/tests/foreign_reports_test.cpp
+++ b/tests/foreign_reports_test.cpp
@@ -131,3 +131,13 @@
     CHECK(site.report("i1", STARTED, 1) == 200);
     REQUIRE(site.askUntil(200) == 200);
 }
+
+// Guards against connections that fall silent without an end: 64 of them shut the address for
+// reports, and no report of the sound server arrived any more.
+TEST_CASE("silent connections do not keep the reports of a sound server out", "[node]")
+{
+    UsedSite site;
+    site.openSilentConnections(150);
+    CHECK(site.report("i1", STARTED, 2) == 200);
+    CHECK(site.deregister("i1") == 200);
+}
--- a/tests/vm_site.cpp
+++ b/tests/vm_site.cpp
@@ -53,6 +53,30 @@
 
 } // namespace
 
+class VmSite::SilentConnection : public ConnectionHandler
+{
+public:
+    SilentConnection(EventLoop &loop, const Endpoint &address)
+        : m_connection(TcpConnection::open(loop, address, seconds(1), *this))
+    {}
+    ~SilentConnection() override { m_connection->close(); }
+    void connected() override {}
+    void received(std::string_view) override {}
+    void disconnected(DisconnectReason) override {}
+
+private:
+    TcpConnectionPtr m_connection;
+};
+
+VmSite::~VmSite() = default;
+
+void VmSite::openSilentConnections(unsigned count)
+{
+    for (unsigned i = 0; i < count; i++)
+        m_silent.push_back(std::make_unique<SilentConnection>(m_loop, at(CONTROL)));
+    pause({100});
+}
+
 VmSite::VmSite(std::uint16_t port) : m_port(port)
 {
     auto store = HttpService::listen(m_loop, at(STORE),
--- a/tests/vm_site.h
+++ b/tests/vm_site.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cornelwell {
 
@@ -19,6 +20,7 @@
 public:
     /** @param port First of the ports that the site uses. */
     explicit VmSite(std::uint16_t port);
+    ~VmSite();
 
     /** Starts a daemon with a new incarnation. */
     void startDaemon();
@@ -36,6 +38,8 @@
     int deregister(const std::string &instance, const std::string &body = {});
     /** Deregisters a server until the status comes. @return the last status. */
     int deregisterUntil(int status, const std::string &instance);
+    /** Opens connections to the address for reports, on which nothing is ever sent. */
+    void openSilentConnections(unsigned count);
     /** Sends a caller's request. @return the status of the answer. */
     int ask();
     /** Asks until the status comes. @return the last status. */
@@ -70,6 +74,9 @@
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_revision = 1;
     unsigned m_lastId = 0;
+    /** The client's end of connections on which nothing is sent. */
+    class SilentConnection;
+    std::vector<std::unique_ptr<SilentConnection>> m_silent;
 };
 
 } // namespace cornelwell
