Fix: a late 421 of the previous server leaves the next one in use

Cause: the answer of another server (421) to any call took the registered server out of use, also to a call that had gone to the previous server before the next one registered.

Change: such an answer counts only for a call at the registered server. The registry of departures handles both answers of the store in one place, and a write that is refused without another one waits before it is repeated; without that a store that answers 409 under the same revision would get a write a round trip.

--- a/src/hosting/departure_registry.cpp
+++ b/src/hosting/departure_registry.cpp
@@ -103,36 +103,37 @@
     }
     m_isRead = true;
     m_mustRead = false;
-    takeOver(answer.value());
-    if (m_revision == 0) {
-        // The daemon's announcement, which creates the object, is still on its way.
-        m_mustRead = true;
-        scheduleRetry(now);
-        return {};
-    }
-    m_retryDelay = {0};
-    return nextCall(now);
+    return continueFrom(answer.value(), now, now);
 }
 
 DepartureActions DepartureRegistry::handleWriteAnswer(const Result<DepartureWriteAnswer> &answer,
                                                       TimePoint now)
 {
     m_callPending = false;
-    if (!answer) {
-        // The write may have been carried out, or may be later: its revision tells.
+    // A write without an answer may be carried out later: the revision of the next one tells.
+    const bool isRefused
+        = answer && !answer.value().written && answer.value().stored.revision == m_revision;
+    if (!answer || isRefused) {
         scheduleRetry(now);
         return {};
     }
-    const bool written = answer.value().written;
-    takeOver(answer.value().stored);
+    const Duration pause = answer.value().written ? m_options.writeInterval : Duration{0};
+    return continueFrom(answer.value().stored, now + pause, now);
+}
+
+/** Goes on from what the store holds. @param nextCallAt Earliest time of the next call. */
+DepartureActions DepartureRegistry::continueFrom(const StoredDepartures &stored,
+                                                 TimePoint nextCallAt, TimePoint now)
+{
+    takeOver(stored);
     if (m_revision == 0) {
+        // The daemon's announcement, which creates the object, is still on its way.
         m_mustRead = true;
         scheduleRetry(now);
         return {};
     }
     m_retryDelay = {0};
-    if (written)
-        m_nextCallAt = now + m_options.writeInterval;
+    m_nextCallAt = nextCallAt;
     return nextCall(now);
 }
 
--- a/src/hosting/departure_registry.h
+++ b/src/hosting/departure_registry.h
@@ -123,6 +123,8 @@
     bool isSuperseded(const Departure &departure) const;
     Departures wanted() const;
     void takeOver(const StoredDepartures &stored);
+    DepartureActions continueFrom(const StoredDepartures &stored, TimePoint nextCallAt,
+                                  TimePoint now);
     DepartureActions nextCall(TimePoint now);
     void scheduleRetry(TimePoint now);
 
--- a/src/hosting/host_scheduler.cpp
+++ b/src/hosting/host_scheduler.cpp
@@ -168,6 +168,17 @@
     return refuseQueued(HostReason::ConnectFailed);
 }
 
+bool HostScheduler::isAtRegisteredServer(const HostCall &call) const
+{
+    return call.instance == m_server.instance && call.serverStartTimeMs == m_server.startTimeMs;
+}
+
+bool HostScheduler::isAtRegisteredServer(HostCallId id) const
+{
+    const auto found = m_running.find(id);
+    return found != m_running.end() && isAtRegisteredServer(found->second);
+}
+
 HostDecisions HostScheduler::handleInstanceChanged(TimePoint now)
 {
     (void)now;
@@ -313,8 +324,7 @@
                                             TimePoint now)
 {
     const auto found = m_running.find(id);
-    if (found == m_running.end() || found->second.instance != m_server.instance
-        || found->second.serverStartTimeMs != m_server.startTimeMs)
+    if (found == m_running.end() || !isAtRegisteredServer(found->second))
         return {};
     m_advisoryHeard = true;
     // An answer without a limit may have overtaken the one that named it.
@@ -366,7 +376,7 @@
 void HostScheduler::recordEndInPace(const HostCall &call, HostFinish finish,
                                     Duration processingTime, TimePoint now)
 {
-    if (call.instance != m_server.instance || call.serverStartTimeMs != m_server.startTimeMs)
+    if (!isAtRegisteredServer(call))
         return;
     // The time of a cancelled call may include its wait in the queue.
     if (finish != HostFinish::Served)
--- a/src/hosting/host_scheduler.h
+++ b/src/hosting/host_scheduler.h
@@ -79,6 +79,8 @@
     HostDecisions handleRestrictions(const ServerRestrictions &restrictions, TimePoint now);
     /** Handles a refused connection. @return refusals of the queued calls. */
     HostDecisions handleServerDown(TimePoint now);
+    /** @return true for a call at the registered server, false for one at an earlier one. */
+    bool isAtRegisteredServer(HostCallId id) const;
     /** Handles an answer from an unregistered instance. @return refusals of the queued calls. */
     HostDecisions handleInstanceChanged(TimePoint now);
     /** Starts to refuse all new calls, for shutdown. @return refusals of the queued calls. */
@@ -170,6 +172,7 @@
 
     void dropDeregistration();
     bool isDeregistered(const std::string &instance, std::int64_t startTimeMs, TimePoint now) const;
+    bool isAtRegisteredServer(const HostCall &call) const;
     bool isRegistered(const ServerRestrictions &restrictions) const;
     void resetServer(TimePoint now);
     HostDecisions refuseQueued(HostReason reason);
--- a/src/hosting/tests/report_order_test.cpp
+++ b/src/hosting/tests/report_order_test.cpp
@@ -118,6 +118,21 @@
     CHECK(scheduler.instance() == "false");
 }
 
+// Guards against an answer to a call of the previous server that takes the next one out of use.
+TEST_CASE("a call at the previous server says nothing about the registered one", "[hosting]")
+{
+    HostScheduler scheduler{HostSchedulerOptions()};
+    scheduler.handleReport(makeReport("a", 10, 1), NOW);
+    HostCall call;
+    call.id = 1;
+    call.deadline = call.softDeadline = NOW + seconds(5);
+    REQUIRE(scheduler.submit(call, NOW).size() == 1);
+    CHECK(scheduler.isAtRegisteredServer(1));
+    CHECK_FALSE(scheduler.isAtRegisteredServer(2));
+    scheduler.handleReport(makeReport("b", 20, 1), NOW);
+    CHECK_FALSE(scheduler.isAtRegisteredServer(1));
+}
+
 // Guards against deregistrations of other writers in great number, which drop that of a server.
 TEST_CASE("many deregistrations of unknown servers do not bring a departed one back", "[hosting]")
 {
--- a/src/node/departure_recorder.cpp
+++ b/src/node/departure_recorder.cpp
@@ -98,13 +98,10 @@
                                      : Result<StoredDepartures>(
                                          boost::outcome_v2::failure(response.error()));
                       const auto next = m_registry.handleReadAnswer(read, m_loop.now());
-                      if (read) {
-                          logFaults(read.value().faults);
-                          m_listener.departuresKnown(m_registry.stored());
-                          completeWaiters();
-                      } else {
+                      if (read)
+                          handleStored(read.value());
+                      else
                           logFailure("read", read.error());
-                      }
                       perform(next);
                   });
 }
@@ -118,17 +115,21 @@
                                      : Result<DepartureWriteAnswer>(
                                          boost::outcome_v2::failure(response.error()));
                       const auto next = m_registry.handleWriteAnswer(answer, m_loop.now());
-                      if (answer) {
-                          logFaults(answer.value().stored.faults);
-                          m_listener.departuresKnown(m_registry.stored());
-                          completeWaiters();
-                      } else {
+                      if (answer)
+                          handleStored(answer.value().stored);
+                      else
                           logFailure("write", answer.error());
-                      }
                       perform(next);
                   });
 }
 
+void DepartureRecorder::handleStored(const StoredDepartures &stored)
+{
+    logFaults(stored.faults);
+    m_listener.departuresKnown(m_registry.stored());
+    completeWaiters();
+}
+
 void DepartureRecorder::logFaults(const std::vector<Error> &faults)
 {
     for (const Error &fault : faults) {
--- a/src/node/departure_recorder.h
+++ b/src/node/departure_recorder.h
@@ -83,6 +83,7 @@
     void perform(const DepartureActions &actions);
     void perform(const ReadDepartures &action);
     void perform(const WriteDepartures &action);
+    void handleStored(const StoredDepartures &stored);
     void logFaults(const std::vector<Error> &faults);
     void logFailure(const char *call, const Error &error);
     void completeWaiters();
--- a/src/node/host_call_executor.cpp
+++ b/src/node/host_call_executor.cpp
@@ -270,13 +270,14 @@
     }
     if (outcome.advisory)
         handleAdvisory(id, *outcome.advisory);
+    const bool disproved = result.instanceChanged && m_scheduler.isAtRegisteredServer(id);
     HostDecisions decisions = m_scheduler.complete(id, result.finish, result.processingTime, now,
                                                    outcome.response.body.size());
     completeCall(id, outcome);
     execute(decisions);
     if (result.connectionRefused) {
         handleServerDown();
-    } else if (result.instanceChanged) {
+    } else if (disproved) {
         execute(m_scheduler.handleInstanceChanged(now));
         m_pool.closeIdle();
         m_listener.serverStateChanged();
