Codechange: hosting: the modelled VM stays without a server for longer

The model of departures did not notice two mutations: a departure that counts as stored before the write, and a write that replaces what the store holds. The next server started within a second and outranked the late report before the bound was due. Believing reports before the record is read stays unnoticed by the model, since the record withdraws the server within milliseconds; [hosting] "without a peer that knew the server, reports wait for the record in the store" guards that.

--- a/src/hosting/tests/departure_model_test.cpp
+++ b/src/hosting/tests/departure_model_test.cpp
@@ -21,7 +21,9 @@
 constexpr Duration DRAIN{2000};        ///< Longest use of a server after an acknowledgement.
 constexpr Duration HEARTBEAT{1500};    ///< Interval of reports.
 constexpr Duration LATE_MAX{7000};     ///< Longest delay of a report.
-constexpr Duration MODEL_TIME{90000};  ///< Length of a run.
+constexpr Duration MODEL_TIME{240000}; ///< Length of a run.
+constexpr Duration NEXT_SERVER{12000}; ///< Mean time until the next server starts on the VM.
+constexpr Duration DISTURBANCE_INTERVAL{6000}; ///< Mean time between disturbances.
 
 /**
  * A VM without peers, as after a kill of all daemons: servers follow each other, some under the
@@ -260,7 +262,7 @@
         if (!m_serverRuns)
             return;
         m_serverRuns = false;
-        after(m_random.jitter({800}), [this] { startServer(); });
+        after(m_random.jitter(NEXT_SERVER), [this] { startServer(); });
     }
 
     void disturb()
@@ -284,7 +286,7 @@
             m_daemon.reset();
             after(m_random.jitter({800}), [this] { startDaemon(); });
         }
-        after(m_random.jitter({4500}), [this] { disturb(); });
+        after(m_random.jitter(DISTURBANCE_INTERVAL), [this] { disturb(); });
     }
 
     /** Checks every 50 ms what the daemon uses. */
