Fix: tests: the daemon of a modelled VM has a loop of its own

The test destroyed a daemon and ran the same event loop on, so that the daemon's periodic timer fired after its end. In the product the loop ends with the process.

Change: VmSite gives each daemon its own loop, which ends with it as the timers of a killed process do. The checks are unchanged.

--- a/src/hosting/startup_reports.h
+++ b/src/hosting/startup_reports.h
@@ -1,4 +1,4 @@
-/** @file startup_reports.h Reports of the local server that arrive before peers were heard. */
+/** @file startup_reports.h Reports of the local server right after a start of the daemon. */
 #pragma once
 
 #include "hosting/hosting_type.h"
--- a/tests/vm_site.cpp
+++ b/tests/vm_site.cpp
@@ -4,6 +4,7 @@
 #include "base/endpoint_func.h"
 #include "platform/object_platform.h"
 
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
 namespace cornelwell {
@@ -12,6 +13,7 @@
 
 using Json = nlohmann::json;
 
+constexpr Duration DAEMON_INTERVAL{1}; ///< Between two turns of the daemon's loop.
 constexpr const char *SERVER_IP = "127.0.0.2";
 constexpr const char *DAEMONS_PATH = "/api/objects/cornelwell-daemons";
 constexpr int CALLS = 1; ///< Offsets of the ports.
@@ -68,8 +70,26 @@
     TcpConnectionPtr m_connection;
 };
 
+struct VmSite::Daemon
+{
+    explicit Daemon(const NodeSettings &settings) : node(loop, PLATFORM, settings, "/nonexistent") {}
+
+    EventLoop loop;
+    ProxyNode node;
+};
+
 VmSite::~VmSite() = default;
 
+/** Runs what is due on the daemon's loop, and does so again later. */
+void VmSite::runDaemon()
+{
+    if (m_daemon) {
+        m_daemon->loop.context().restart();
+        m_daemon->loop.context().poll();
+    }
+    m_loop.after(DAEMON_INTERVAL, [this] { runDaemon(); });
+}
+
 void VmSite::openSilentConnections(unsigned count)
 {
     for (unsigned i = 0; i < count; i++)
@@ -87,6 +107,7 @@
                                       [this](const HttpRequest &r) { return serve(r); });
     REQUIRE(server);
     m_server = std::move(server.value());
+    runDaemon();
 }
 
 Endpoint VmSite::at(int offset) const
@@ -121,8 +142,8 @@
     NodeSettings parsed = PLATFORM.settings(settings.dump()).value();
     parsed.self.incarnation = ++m_incarnation;
     parsed.listen.metrics = at(METRICS);
-    m_daemon = std::make_unique<ProxyNode>(m_loop, PLATFORM, parsed, "/nonexistent");
-    REQUIRE(m_daemon->start());
+    m_daemon = std::make_unique<Daemon>(parsed);
+    REQUIRE(m_daemon->node.start());
 }
 
 void VmSite::killDaemon()
--- a/tests/vm_site.h
+++ b/tests/vm_site.h
@@ -59,6 +59,10 @@
     std::map<std::string, nlohmann::json> daemons; ///< Objects of the kind of daemons.
 
 private:
+    /** The daemon with its own loop, whose timers end with it as those of a killed process do. */
+    struct Daemon;
+
+    void runDaemon();
     Endpoint at(int offset) const;
     std::string local(int offset) const;
     int send(int offset, const HttpRequest &request, std::string *body = nullptr);
@@ -70,7 +74,7 @@
     EventLoop m_loop;
     std::unique_ptr<HttpService> m_store;
     std::unique_ptr<HttpService> m_server;
-    std::unique_ptr<ProxyNode> m_daemon;
+    std::unique_ptr<Daemon> m_daemon;
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_revision = 1;
     unsigned m_lastId = 0;
