--- a/tests/vm_site.cpp
+++ b/tests/vm_site.cpp
@@ -72,7 +72,8 @@
 
 struct VmSite::Daemon
 {
-    explicit Daemon(const NodeSettings &settings) : node(loop, PLATFORM, settings, "/nonexistent") {}
+    explicit Daemon(const NodeSettings &settings) : node(loop, PLATFORM, settings, "/nonexistent")
+    {}
 
     EventLoop loop;
     ProxyNode node;
