Fix: the record of departures costs no call of the store at a start

Cause: each start of a daemon read its object for the departures beside the announcement, whose answer holds the same object.

Change: the answer to the announcement, made or found, is taken for the record. The daemon reads by itself only when that answer has not come within 150 ms, and goes on repeating as before.

Tests: [hosting] "the answer to the announcement saves the read", [adapter] "departures are written to the status ..."; [node] departure_path_test.cpp passes as it was.

--- a/src/hosting/departure_registry.cpp
+++ b/src/hosting/departure_registry.cpp
@@ -106,6 +106,13 @@
     return continueFrom(answer.value(), now, now);
 }
 
+DepartureActions DepartureRegistry::handleRecord(const StoredDepartures &stored, TimePoint now)
+{
+    if (m_isRead || m_callPending)
+        return {};
+    return handleReadAnswer(stored, now);
+}
+
 DepartureActions DepartureRegistry::handleWriteAnswer(const Result<DepartureWriteAnswer> &answer,
                                                       TimePoint now)
 {
--- a/src/hosting/departure_registry.h
+++ b/src/hosting/departure_registry.h
@@ -97,6 +97,8 @@
                                  TimePoint now);
     /** Handles the store's answer to ReadDepartures, or the error of a call to be retried. */
     DepartureActions handleReadAnswer(const Result<StoredDepartures> &answer, TimePoint now);
+    /** Handles the record in the answer to another call, unless it is read already. */
+    DepartureActions handleRecord(const StoredDepartures &stored, TimePoint now);
     /** Handles the store's answer to WriteDepartures, or the error of a call to be retried. */
     DepartureActions handleWriteAnswer(const Result<DepartureWriteAnswer> &answer, TimePoint now);
     /** Handles a store that came back from an older copy, which may lack departures. */
--- a/src/hosting/tests/departure_test.cpp
+++ b/src/hosting/tests/departure_test.cpp
@@ -66,6 +66,20 @@
     CHECK(writeOf(next).departures == Departures{{"a", 10}, {"b", 20}});
 }
 
+TEST_CASE("the answer to the announcement saves the read", "[hosting]")
+{
+    DepartureRegistry registry(DepartureOptions(), 1);
+    CHECK(registry.handleRecord({{{"a", 10}}, 7, {}}, NOW).empty());
+    CHECK(registry.isRead());
+    CHECK(registry.tick(NOW + seconds(5)).empty());
+    CHECK(registry.isStored({"a", 10}));
+    // A later answer of that kind may be older than what was written since.
+    registry.add({"b", 20}, true, NOW);
+    registry.handleWriteAnswer(written({{"a", 10}, {"b", 20}}, 8), NOW);
+    CHECK(registry.handleRecord({{{"a", 10}}, 7, {}}, NOW).empty());
+    CHECK(registry.isStored({"b", 20}));
+}
+
 TEST_CASE("a write that meets another one merges with it", "[hosting]")
 {
     DepartureRegistry registry = readRegistry();
--- a/src/node/departure_recorder.cpp
+++ b/src/node/departure_recorder.cpp
@@ -13,6 +13,8 @@
 constexpr Duration CALL_TIMEOUT{2000};
 /** Longest wait of an acknowledgement; the server gives up on it after a second. */
 constexpr Duration STORED_WAIT_MAX{800};
+/** The answer to the announcement, which has the record too, usually comes within this time. */
+constexpr Duration READ_DELAY{150};
 
 } // namespace
 
@@ -36,6 +38,28 @@
         m_loop.cancel(waiter.timer);
 }
 
+void DepartureRecorder::start()
+{
+    m_readAt = m_loop.now() + READ_DELAY;
+}
+
+void DepartureRecorder::tick()
+{
+    const TimePoint now = m_loop.now();
+    if (now >= m_readAt)
+        perform(m_registry.tick(now));
+}
+
+void DepartureRecorder::handleAnnounced(const StoredDepartures &stored)
+{
+    if (m_registry.isRead())
+        return;
+    const auto next = m_registry.handleRecord(stored, m_loop.now());
+    if (m_registry.isRead())
+        handleStored(stored);
+    perform(next);
+}
+
 void DepartureRecorder::record(const Departure &departure, bool wasRegistered)
 {
     perform(m_registry.add(departure, wasRegistered, m_loop.now()));
--- a/src/node/departure_recorder.h
+++ b/src/node/departure_recorder.h
@@ -47,10 +47,12 @@
                       DepartureRecorderListener &listener, std::uint64_t seed);
     ~DepartureRecorder();
 
-    /** Reads the departures of earlier incarnations of the daemon. */
-    void start() { perform(m_registry.start()); }
+    /** Starts: the record is read unless the answer to the announcement has it before. */
+    void start();
+    /** Handles the record in the answer to the daemon's announcement. */
+    void handleAnnounced(const StoredDepartures &stored);
     /** Does the periodic work; called several times a second. */
-    void tick() { perform(m_registry.tick(m_loop.now())); }
+    void tick();
     /** Sets the address of the store. */
     void setStore(const Endpoint &address) { m_client.setAddress(address); }
     /** Handles a store that came back from an older copy. */
@@ -96,7 +98,8 @@
     DepartureRecorderListener &m_listener;
     DepartureRegistry m_registry;
     std::list<Waiter> m_waiters;
-    StoreClient m_client; ///< Last: its callbacks use the other members.
+    TimePoint m_readAt{0}; ///< The record is read then unless it is known.
+    StoreClient m_client;  ///< Last: its callbacks use the other members.
 };
 
 } // namespace cornelwell
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -12,6 +12,7 @@
 #include "rollout/rollout_evaluator.h"
 #include "routes/route_type.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,9 @@
     /** @return the page in the response to listDaemonsRequest, or an error. */
     virtual Result<DaemonPage> parseDaemonList(const HttpResponse &response) const = 0;
 
+    /** @return the departures in the response to announceRequest; nothing if it has none. */
+    virtual std::optional<StoredDepartures>
+    parseAnnouncedDepartures(const HttpResponse &response, const ServerId &daemon) const = 0;
     /** @return the request that reads the departures from a daemon's VM. */
     virtual HttpRequest readDeparturesRequest(const ServerId &daemon) const = 0;
     /** @return the departures in the response to readDeparturesRequest, or an error. */
--- a/src/node/proxy_node_store.cpp
+++ b/src/node/proxy_node_store.cpp
@@ -187,6 +187,10 @@
                        [this](const Result<HttpResponse> &response) {
                            const Result<AnnounceAnswer> read = parseStoreAnswer(
                                response, &PlatformAdapter::parseAnnounceResponse);
+                           if (const auto departures = read ? m_adapter.parseAnnouncedDepartures(
+                                                           response.value(), m_settings.self.name)
+                                                            : std::nullopt)
+                               m_departures.handleAnnounced(*departures);
                            perform(m_discovery.handleAnnounceAnswer(read, m_loop.now()));
                        });
 }
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -557,7 +557,10 @@
     CHECK(answer.value().written);
     response.status = 409;
     CHECK_FALSE(PLATFORM.parseDeparturesWrite(response, daemon).value().written);
+    // The answer to the announcement has them too, whether it found the object or made it.
+    CHECK(PLATFORM.parseAnnouncedDepartures(response, daemon)->departures == Departures{{"a", 10}});
     response.status = 404;
+    CHECK_FALSE(PLATFORM.parseAnnouncedDepartures(response, daemon));
     CHECK(PLATFORM.parseDeparturesRead(response, daemon).value().revision == 0);
     CHECK(PLATFORM.parseDeparturesWrite(response, daemon).value().stored.revision == 0);
     // An object that another writer has left under the daemon's name tells no departures.
