--- a/tests/foreign_reports_test.cpp
+++ b/tests/foreign_reports_test.cpp
@@ -101,7 +101,7 @@
     for (int i = 0; i < 300; i++)
         CHECK(site.deregister("x" + std::to_string(i)) == 200);
     CHECK(site.ask() == 200);
-    CHECK(site.daemons["vm"].value("status", Json()).is_null()); // None of them was worth a write.
+    CHECK(site.daemons["vm"].value("status", Json()).is_null()); // None of them was stored.
     CHECK(site.deregister("i1", R"({"born":1000})") == 200);
     CHECK(site.ask() == 503);
 }
