--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -116,7 +116,7 @@
             while (message := await read_message(reader)) is not None:
                 self.calls += 1
                 status, body = await self.answer(message)
-                data = json.dumps(body).encode()
+                data = json.dumps(body, separators=(",", ":")).encode()
                 head = (f"HTTP/1.1 {status} {'OK' if status == 200 else 'Other'}\r\nContent-Type: application/json\r\n"
                         f"Content-Length: {len(data)}\r\n\r\n").encode()
                 if self.link is not None:
