--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -373,7 +373,7 @@
 
 
 class Mesh:
-    """A small deployment of the site anrmh-mesh."""
+    """A small deployment, with the bounds of the site anrmh-mesh unless others are given."""
 
     def __init__(self, record, bounds=None):
         self.record = record
@@ -435,6 +435,10 @@
     record = Record(folder)
 
     async def whole():
+        # Also when the case itself is ended, its processes are.
+        main = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, main.cancel)
         mesh = Mesh(record)
         try:
             return await case(mesh, record)
@@ -443,7 +447,7 @@
 
     try:
         breaks = asyncio.run(asyncio.wait_for(whole(), 110))
-    except (Broken, OSError, asyncio.TimeoutError) as error:
+    except (Broken, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record.add(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}")
         sys.exit(2)
