--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -102,6 +102,7 @@
         self.revision = 10
         self.changed = asyncio.Event()
         self.link = None
+        self.fronts = []
         self.calls = 0
 
     @property
@@ -111,7 +112,14 @@
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.port, limit=2 ** 22)
 
-    async def serve(self, reader, writer):
+    async def front(self, link):
+        """Opens a further address of the store, whose answers leave through a link of its own; returns it."""
+        port = free_port(self.ip)
+        self.fronts.append(await asyncio.start_server(lambda reader, writer: self.serve(reader, writer, link), self.ip,
+                                                      port, limit=2 ** 22))
+        return f"{self.ip}:{port}"
+
+    async def serve(self, reader, writer, own_link=None):
         try:
             while (message := await read_message(reader)) is not None:
                 self.calls += 1
@@ -119,8 +127,9 @@
                 data = json.dumps(body, separators=(",", ":")).encode()
                 head = (f"HTTP/1.1 {status} {'OK' if status == 200 else 'Other'}\r\nContent-Type: application/json\r\n"
                         f"Content-Length: {len(data)}\r\n\r\n").encode()
-                if self.link is not None:
-                    if not await self.link(head + data, writer, message[0]):
+                link = own_link or self.link
+                if link is not None:
+                    if not await link(head + data, writer, message[0]):
                         return
                     continue
                 writer.write(head + data)
