Fix: a reset while the request is written makes an early answer whole

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection, or closed it with the request unread, while the upload was still being written. Callers got the part as a complete 200.

Cause: TcpConnection::flush() left the end of the connection to the pending read, but a failed write consumes the socket's error, and the read that follows reports an orderly end. ResponseReader::handleEof() then completes a body that ends with the connection. The loop handles a writable socket before a readable one, so that this was the rule and no race.

Ruled out: that bytes are lost or joined wrongly (the part is what the server sent); answers with a length or in chunks (502 before); a reset while nothing is left to write (the read gets the error). An orderly end with a part of the request not received is the same fault: the server can't have answered a request that it didn't get, and the rest of its answer may be missing.

Change: TcpConnection reports an end as orderly only if no write has failed, nothing is queued, and the peer's system has acknowledged all bytes (SIOCOUTQ; the segment with the end acknowledges all that the server had received). Bytes that arrived before are still delivered, so that an early answer with a length is passed on as before. All readers get the end from there: servers and the store.

Measured: on the code before, [loop] "a connection ends in an orderly way only ..." fails for all three endings (reset, close, half-close), [node] "an answer that ends with the connection ..." for 12 MB with each ending and for 300 KB with a half-close, and the same for the store.

--- a/src/loop/tcp_connection.cpp
+++ b/src/loop/tcp_connection.cpp
@@ -5,7 +5,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <array>
 #include <deque>
@@ -25,9 +27,11 @@
 
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-DisconnectReason reasonOf(const ErrorCode &error)
+/** @return true when the peer has not acknowledged all bytes that the system was handed. */
+bool hasUnacknowledgedBytes(Tcp::socket &socket)
 {
-    return error == boost::asio::error::eof ? DisconnectReason::Eof : DisconnectReason::Reset;
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 } // namespace
@@ -39,6 +43,16 @@
         : loop(eventLoop), socket(std::move(tcpSocket))
     {}
 
+    /** @return the reason for the end that a read of the socket has reported. */
+    DisconnectReason reasonOf(const ErrorCode &readError)
+    {
+        // A failed write consumes the error of the socket: a later read reports an orderly end even
+        // if the peer has reset the connection.
+        const bool isDelivered = !writeFailed && output.empty() && !hasUnacknowledgedBytes(socket);
+        return readError == boost::asio::error::eof && isDelivered ? DisconnectReason::Eof
+                                                                   : DisconnectReason::Reset;
+    }
+
     EventLoop &loop;
     Tcp::socket socket;
     ConnectionHandler *handler = nullptr;
@@ -48,6 +62,7 @@
     TimerId connectTimer = 0;
     bool connecting = false;
     bool writing = false;
+    bool writeFailed = false;
     bool closeAfterOutput = false;
     bool open = true;
 };
@@ -122,7 +137,7 @@
             const std::size_t count
                 = error ? 0 : self->m_impl->socket.read_some(boost::asio::buffer(buffer), error);
             if (error && error != boost::asio::error::would_block) {
-                self->finish(reasonOf(error));
+                self->finish(self->m_impl->reasonOf(error));
                 return;
             }
             if (count > 0)
@@ -163,8 +178,9 @@
             return;
         }
         if (error) {
-            // The pending read reports the end of the connection; the queued bytes can never be
-            // sent.
+            // The queued bytes can never be sent. The pending read delivers the bytes that have
+            // arrived, and reports the end of the connection after them.
+            impl.writeFailed = true;
             impl.output.clear();
             impl.outputBytes = 0;
             impl.sentBytesOfFirst = 0;
--- a/src/loop/tcp_connection.h
+++ b/src/loop/tcp_connection.h
@@ -15,8 +15,8 @@
 /** Why a connection ended, or why it could not be opened. */
 enum class DisconnectReason : std::uint8_t
 {
-    Eof,     ///< The peer closed it in an orderly way.
-    Reset,   ///< It was reset or failed in another way.
+    Eof,     ///< The peer closed it in an orderly way, and has received all that was written.
+    Reset,   ///< It was reset, bytes written were not delivered, or it failed in another way.
     Refused, ///< It could not be opened: nothing listens at the address.
     Timeout, ///< It could not be opened in time.
 };
--- a/src/loop/tests/loop_test.cpp
+++ b/src/loop/tests/loop_test.cpp
@@ -1,5 +1,7 @@
-/** @file loop_test.cpp Order of timers; connections that are written to, closed and refused. */
+/** @file loop_test.cpp Order of timers; connections that are written to, closed, reset and refused.
+ */
 #include "loop/tcp_connection.h"
+#include "scripted_server.h"
 
 #include <catch2/catch.hpp>
 
@@ -82,3 +84,27 @@
     CHECK(TcpListener::listen(loop, {"no number", 1}, [](TcpConnectionPtr) {}).error().code
           == ResultCode::AddressInvalid);
 }
+
+// Guards against a reset that a failed write hides from the reader: the part of an answer that had
+// arrived counted as whole.
+TEST_CASE("a connection ends in an orderly way only when the peer has received all bytes", "[loop]")
+{
+    for (const ServerEnding ending :
+         {ServerEnding::Reset, ServerEnding::Close, ServerEnding::HalfClose}) {
+        for (const bool isReadWhole : {false, true}) {
+            INFO("ending " << static_cast<int>(ending) << ", read whole: " << isReadWhole);
+            EventLoop loop;
+            const std::string text(12 * 1024 * 1024, 'x');
+            ScriptedServer server(loop);
+            server.script = {{"answer"}, "", ending, isReadWhole ? text.size() : 100};
+            RecordingHandler client(loop);
+            const auto connection
+                = TcpConnection::open(loop, server.endpoint(), seconds(20), client);
+            connection->write(text);
+            loop.run();
+            const bool isOrderly = isReadWhole && ending != ServerEnding::Reset;
+            CHECK(client.reason == (isOrderly ? DisconnectReason::Eof : DisconnectReason::Reset));
+            CHECK(client.text == "answer");
+        }
+    }
+}
--- /dev/null
+++ b/src/node/tests/broken_answers_test.cpp
@@ -0,0 +1,151 @@
+/** @file broken_answers_test.cpp Answers of servers and of the store that are cut or malformed. */
+#include "exchange/message_func.h"
+#include "node/server_connection_pool.h"
+#include "node/store_client.h"
+#include "scripted_server.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <optional>
+
+using namespace cornelwell;
+
+namespace {
+
+const CallFields FIELDS = {"Id",          "Deadline", "Instance", "Not-Run",    "Seal",  "Caller",
+                           "Retry-After", "Limit",    "Leaving",  "Credential", "Tenant"};
+
+/** The head of an answer without a length, and a part of its body. */
+const std::string CUT_ANSWER = "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\n\r\npart";
+/** More than the system's buffers hold, so that the upload is still being written. */
+constexpr std::size_t LONG_UPLOAD_BYTES = 12 * 1024 * 1024;
+/** Less than the sender's buffer and more than the receiver's. */
+constexpr std::size_t SHORT_UPLOAD_BYTES = 300 * 1024;
+
+const ServerEnding EARLY_ENDINGS[]
+    = {ServerEnding::Reset, ServerEnding::Close, ServerEnding::HalfClose};
+
+HttpRequest upload(std::size_t bytes)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/";
+    request.body = std::string(bytes, 'x');
+    return request;
+}
+
+/** Runs the loop until the condition holds, at most 20 s. */
+void runUntil(EventLoop &loop, const std::function<bool()> &done)
+{
+    int checksLeft = 4000;
+    std::function<void()> check = [&] {
+        if (done() || --checksLeft == 0)
+            loop.stop();
+        else
+            loop.after({5}, check);
+    };
+    check();
+    loop.run();
+}
+
+/** A pool of connections to a server that follows a script. */
+struct PoolFixture
+{
+    /** @return the result of a request. */
+    ServerResult send(HttpRequest request)
+    {
+        const HostCallId id = ++lastId;
+        pool.send(server.endpoint(), {id, std::move(request), "r"});
+        runUntil(loop, [&] { return results.count(id) != 0; });
+        REQUIRE(results.count(id) != 0);
+        return results[id];
+    }
+
+    EventLoop loop;
+    ScriptedServer server{loop};
+    std::map<HostCallId, ServerResult> results;
+    HostCallId lastId = 0;
+    ServerConnectionPool pool{
+        loop, FIELDS, [this](HostCallId id, const ServerResult &result) { results[id] = result; }};
+};
+
+/** A client of a store that follows a script. */
+struct StoreFixture
+{
+    /** @return the response, or the error of the call. */
+    Result<HttpResponse> call(HttpRequest request)
+    {
+        std::optional<Result<HttpResponse>> result;
+        client.call(std::move(request), seconds(20),
+                    [&](const Result<HttpResponse> &response) { result = response; });
+        runUntil(loop, [&] { return result.has_value(); });
+        REQUIRE(result.has_value());
+        return *result;
+    }
+
+    EventLoop loop;
+    ScriptedServer server{loop};
+    StoreClient client{loop, server.endpoint()};
+};
+
+} // namespace
+
+// Guards against a server that answers an upload early and breaks off: callers got the part that
+// it had sent as a complete 200.
+TEST_CASE("an answer that ends with the connection is cut when the request was not taken whole",
+          "[node]")
+{
+    for (const std::size_t bytes : {LONG_UPLOAD_BYTES, SHORT_UPLOAD_BYTES}) {
+        for (const ServerEnding ending : EARLY_ENDINGS) {
+            INFO("upload of " << bytes << " bytes, ending " << static_cast<int>(ending));
+            PoolFixture fixture;
+            fixture.server.script = {{CUT_ANSWER}, "", ending, 100};
+            const ServerResult result = fixture.send(upload(bytes));
+            CHECK(result.outcome.state == RunState::Unknown);
+            CHECK(result.outcome.response.body.empty());
+        }
+    }
+}
+
+TEST_CASE("a store's answer that ends with the connection is cut when the request was not taken "
+          "whole",
+          "[node]")
+{
+    for (const std::size_t bytes : {LONG_UPLOAD_BYTES, SHORT_UPLOAD_BYTES}) {
+        for (const ServerEnding ending : EARLY_ENDINGS) {
+            INFO("request of " << bytes << " bytes, ending " << static_cast<int>(ending));
+            StoreFixture fixture;
+            fixture.server.script = {{CUT_ANSWER}, "", ending, 100};
+            const Result<HttpResponse> response = fixture.call(upload(bytes));
+            REQUIRE_FALSE(response);
+            CHECK(response.error().code == ResultCode::PlatformUnknown);
+        }
+    }
+}
+
+TEST_CASE("sound answers to uploads are passed on", "[node]")
+{
+    const HttpRequest request = upload(LONG_UPLOAD_BYTES);
+    const std::size_t requestBytes = serializeRequest(request).size();
+    const std::string whole
+        = "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\nContent-Length: 4\r\n\r\npart";
+    const ServerScript scripts[] = {
+        // The server closes after it has read the whole request.
+        {{CUT_ANSWER}, "", ServerEnding::Close, requestBytes},
+        {{CUT_ANSWER}, "", ServerEnding::HalfClose, requestBytes},
+        // The length shows that an early answer is whole, however the connection ends.
+        {{whole}, "", ServerEnding::Reset, 100},
+        {{whole}, "", ServerEnding::Close, 100},
+        {{whole}, "", ServerEnding::HalfClose, 100},
+        {{whole}, "", ServerEnding::Wait, 100},
+    };
+    for (const ServerScript &script : scripts) {
+        INFO("ending " << static_cast<int>(script.ending));
+        PoolFixture fixture;
+        fixture.server.script = script;
+        const ServerResult result = fixture.send(request);
+        CHECK(result.outcome.state == RunState::Answered);
+        CHECK(result.outcome.response.body == "part");
+    }
+}
