Fix: statuses that are none of HTTP, and interim responses that state a body

What callers saw: a server in trouble answered with status 000. The client waited out its deadline (504). With a Content-Length and a body that looks like an answer, the client got the body's 200, under 000 as under 100. 600 to 999 were passed on.

Cause: ResponseReader took each status below 200 for that of an interim response, has it that HTTP knows it or not, and read on after the head; an interim response has no body, so the body that it stated was read as the next response.

Ruled out: the parser (it takes any three digits and ends an interim response at its head, as RFC 9112 says); the links and the sender, which pass the status on unread.

Change: a response with a status outside 100 to 599 is malformed, and so is an interim one that states a body (RFC 9110, 8.6: it must not). A 204 that states a body stays an answer, but its connection is not kept: later bytes have the same two readings. All of it is in ResponseReader, which reads the answers of servers and of the store.

Measured: on the code before, [exchange] "a response with a status ...", "an interim response that states a body ..." and "a connection is not kept ..." fail at every split of the bytes, and [node] "a server's status that is none of HTTP ...". With the change they pass, and so do the tests of sound answers (no reason phrase, several interim responses, a Content-Length of 0 in one, 1.0, 599), which passed before.

--- a/src/exchange/response_reader.cpp
+++ b/src/exchange/response_reader.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t MAX_BODY_BYTES = 16 * 1024 * 1024; ///< Longest body of a response.
 /** Most interim responses before the final one. */
 constexpr unsigned MAX_INTERIM_RESPONSES = 16;
+constexpr unsigned MIN_STATUS = 100;       ///< Lowest status of HTTP.
+constexpr unsigned MAX_STATUS = 599;       ///< Highest status of HTTP.
 constexpr unsigned MIN_FINAL_STATUS = 200; ///< Responses with a lower status are interim.
 constexpr unsigned NO_CONTENT = 204;
 constexpr unsigned NOT_MODIFIED = 304;
@@ -82,6 +84,14 @@
     const unsigned status = header.result_int();
     const auto codings = header.count(beast::http::field::transfer_encoding);
     const auto length = m_parser->content_length();
+    if (status < MIN_STATUS || status > MAX_STATUS)
+        return ResponseParseStatus::Failed;
+    // Bytes after a response that states a body and may have none have two readings: the body, or
+    // the next response.
+    m_isEndAmbiguous = (status < MIN_FINAL_STATUS || status == NO_CONTENT)
+                       && (codings > 0 || length.value_or(0) > 0);
+    if (status < MIN_FINAL_STATUS && m_isEndAmbiguous)
+        return ResponseParseStatus::Failed;
     if (m_method == "HEAD" || status < MIN_FINAL_STATUS || status == NO_CONTENT
         || status == NOT_MODIFIED)
         m_body.beginFixedLength(0, 0);
@@ -122,7 +132,7 @@
 
 HttpResponse ResponseReader::take()
 {
-    m_keepAlive = m_parser->get().keep_alive() && !m_body.endsAtClose();
+    m_keepAlive = m_parser->get().keep_alive() && !m_body.endsAtClose() && !m_isEndAmbiguous;
     auto message = m_parser->release();
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
--- a/src/exchange/response_reader.h
+++ b/src/exchange/response_reader.h
@@ -61,6 +61,7 @@
     unsigned m_interimResponses = 0; ///< Before the response in progress.
     std::unique_ptr<Parser> m_parser;
     bool m_started = false;
+    bool m_isEndAmbiguous = false; ///< The response states a body that it may not have.
     bool m_keepAlive = false;
 };
 
--- a/src/exchange/tests/exchange_test.cpp
+++ b/src/exchange/tests/exchange_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <vector>
 
 using namespace cornelwell;
@@ -13,6 +14,23 @@
 
 constexpr RequestLimits LIMITS{512, 64};
 
+/** Feeds a response in two parts. @return its status and body; nothing when it is not complete. */
+std::optional<HttpResponse> readResponseSplit(const std::string &text, std::size_t split,
+                                              ResponseParseStatus &status)
+{
+    ResponseReader reader;
+    reader.beginResponse("GET");
+    for (const std::string &part : {text.substr(0, split), text.substr(split)}) {
+        reader.feed(part);
+        status = reader.parse();
+        if (status == ResponseParseStatus::Failed)
+            return std::nullopt;
+    }
+    if (status != ResponseParseStatus::Complete)
+        return std::nullopt;
+    return reader.take();
+}
+
 /**
  * Feeds a text in two parts.
  * @param errorStatus Set to the error status when a request is rejected.
@@ -226,3 +244,86 @@
     CHECK(unfinished.parse() == ResponseParseStatus::NeedMore);
     CHECK(unfinished.handleEof() == ResponseParseStatus::Failed);
 }
+
+// Guards against a server in trouble whose status is 000: callers waited for the answer that
+// follows an interim one, or got bytes of its body as the answer.
+TEST_CASE("a response with a status that is none of HTTP is malformed", "[exchange]")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+    const std::string length = "Content-Length: " + std::to_string(answer.size()) + "\r\n\r\n";
+    for (const char *status : {"000", "001", "099", "101", "600", "700", "999"}) {
+        for (const std::string &fields :
+             {std::string("\r\n"), length, std::string("Transfer-Encoding: chunked\r\n\r\n")}) {
+            const std::string text
+                = std::string("HTTP/1.1 ") + status + " Odd\r\n" + fields + answer;
+            for (std::size_t split = 0; split <= text.size(); split++) {
+                INFO(text << " split at " << split);
+                ResponseParseStatus result = ResponseParseStatus::NeedMore;
+                CHECK_FALSE(readResponseSplit(text, split, result));
+                CHECK(result == ResponseParseStatus::Failed);
+            }
+        }
+    }
+}
+
+TEST_CASE("an interim response that states a body is malformed", "[exchange]")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string &fields :
+         {"Content-Length: " + std::to_string(answer.size()) + "\r\n\r\n",
+          std::string("Transfer-Encoding: chunked\r\n\r\n")}) {
+        for (const char *status : {"100", "103"}) {
+            const std::string text
+                = std::string("HTTP/1.1 ") + status + " Odd\r\n" + fields + answer;
+            for (std::size_t split = 0; split <= text.size(); split++) {
+                INFO(text << " split at " << split);
+                ResponseParseStatus result = ResponseParseStatus::NeedMore;
+                CHECK_FALSE(readResponseSplit(text, split, result));
+                CHECK(result == ResponseParseStatus::Failed);
+            }
+        }
+    }
+}
+
+TEST_CASE("a connection is not kept after a 204 that states a body", "[exchange]")
+{
+    for (const char *framing : {"Content-Length: 2", "Transfer-Encoding: chunked"}) {
+        ResponseReader reader;
+        reader.beginResponse("GET");
+        reader.feed(std::string("HTTP/1.1 204 No Content\r\n") + framing + "\r\n\r\n");
+        REQUIRE(reader.parse() == ResponseParseStatus::Complete);
+        CHECK(reader.take().status == 204);
+        CHECK_FALSE(reader.keepAlive());
+    }
+    ResponseReader reader;
+    reader.beginResponse("GET");
+    reader.feed("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(reader.parse() == ResponseParseStatus::Complete);
+    CHECK(reader.take().status == 204);
+    CHECK(reader.keepAlive());
+}
+
+TEST_CASE("unusual but valid responses are complete at every split of the bytes", "[exchange]")
+{
+    const std::string body = "Content-Length: 2\r\n\r\nok";
+    const std::pair<std::string, int> texts[] = {
+        {"HTTP/1.1 200 \r\n" + body, 200},
+        {"HTTP/1.0 599 Odd\r\n" + body, 599},
+        {"HTTP/1.1 299 Odd\r\n" + body, 299},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Odd\r\n\r\nHTTP/1.1 201 Created\r\n" + body,
+         201},
+        {"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + body, 200},
+        {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 404 Not Found\r\n" + body, 404},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", 200},
+    };
+    for (const auto &[text, status] : texts) {
+        for (std::size_t split = 0; split <= text.size(); split++) {
+            INFO(text << " split at " << split);
+            ResponseParseStatus result = ResponseParseStatus::NeedMore;
+            const auto response = readResponseSplit(text, split, result);
+            REQUIRE(response);
+            CHECK(response->status == status);
+            CHECK(response->body == "ok");
+        }
+    }
+}
--- a/src/node/tests/broken_answers_test.cpp
+++ b/src/node/tests/broken_answers_test.cpp
@@ -149,3 +149,22 @@
         CHECK(result.outcome.response.body == "part");
     }
 }
+
+TEST_CASE("a server's status that is none of HTTP is no answer", "[node]")
+{
+    const std::string hidden = "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+    const std::string length = "Content-Length: " + std::to_string(hidden.size()) + "\r\n\r\n";
+    const std::string fields = " Odd\r\nId: r\r\nSeal: s\r\n";
+    for (const char *status : {"000", "001", "099", "100", "600", "999"}) {
+        INFO("status " << status);
+        const std::string answer = std::string("HTTP/1.1 ") + status + fields + length + hidden;
+        PoolFixture pool;
+        pool.server.script.parts = {answer};
+        CHECK(pool.send(upload(1)).outcome.state == RunState::Unknown);
+        StoreFixture store;
+        store.server.script.parts = {answer};
+        const Result<HttpResponse> response = store.call(upload(1));
+        REQUIRE_FALSE(response);
+        CHECK(response.error().code == ResultCode::PlatformProtocol);
+    }
+}
