Fix: a folded line changes a field of an answer

What callers saw: a server in trouble sent a line that begins with a blank or a tab in the head of its answer. Callers got a 200 with the line joined to the value above it; where that was the seal, with a changed seal.

Cause: the parser joins a folded line (obsolete since RFC 7230) to the value of the field before it, and ResponseReader took the result.

Ruled out: names with a blank, a tab, a control byte, DEL, a high byte or a separator, a blank before the colon, an empty name, a line without a colon, bare CR or LF, control bytes in values: each is a 502 on the code before, at every split of the bytes. These tests are kept.

Change: ResponseReader looks for a folded line in the bytes that the parser took as lines of the head, and fails; RFC 9112, 5.2 lets a gateway choose between that and a blank in its place, and a line that the server did not mean to fold can't be told from one that it did.

Measured: on the code before, [exchange] "a response with a malformed field ..." fails for all seven folded lines at every split, with and without an interim response before, and [node] "callers get no answer in whose head a field is malformed" fails for five of five (200 in place of 502). With the change both pass. Sound heads (tabs, blanks and high bytes in values, all token characters in a name) pass before and after.

--- a/src/exchange/response_reader.cpp
+++ b/src/exchange/response_reader.cpp
@@ -24,6 +24,18 @@
 constexpr unsigned NOT_MODIFIED = 304;
 constexpr unsigned SWITCHING_PROTOCOLS = 101; ///< An error: no request asks for an upgrade.
 
+/** @return true when a line begins with a blank or a tab, which continues the value of the field
+ * before it (obsolete line folding, RFC 9112, section 5.2). */
+bool hasFoldedLine(std::string_view lines)
+{
+    for (std::size_t at = lines.find('\n'); at != std::string_view::npos && at + 1 < lines.size();
+         at = lines.find('\n', at + 1)) {
+        if (lines[at + 1] == ' ' || lines[at + 1] == '\t')
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 ResponseReader::ResponseReader() = default;
@@ -75,7 +87,11 @@
     beast::error_code error;
     const std::size_t used
         = m_parser->put(boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
+    // The parser joins a folded line to the value before it, and takes both at once.
+    const bool isFolded = hasFoldedLine(std::string_view(m_buffer).substr(0, used));
     m_buffer.erase(0, used);
+    if (isFolded)
+        return ResponseParseStatus::Failed;
     if (error && error != beast::http::error::need_more)
         return ResponseParseStatus::Failed;
     if (!m_parser->is_header_done())
--- a/src/exchange/tests/exchange_test.cpp
+++ b/src/exchange/tests/exchange_test.cpp
@@ -285,6 +285,50 @@
     }
 }
 
+// Guards against a line that begins with a blank: it was joined to the value above it, so that
+// callers got a field that the server did not send.
+TEST_CASE("a response with a malformed field is malformed as a whole", "[exchange]")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string rest = "Content-Length: 2\r\n\r\nok";
+    for (const char *line : {"Bad Name: x",    "Bad\tName: x",    "Bad\x01Name: x",
+                             "Bad\x7fName: x", "Bad\xe9Name: x",  "Bad(Name: x",
+                             "Name : x",       "Name\t: x",       ": x",
+                             "Name",           " Name: x",        "\tName: x",
+                             "A: b\r\n c",     "A: b\r\n\tc",     "A:\r\n c",
+                             "A: b\r\n ",      "A: b\r\n \r\n c", "Seal: s\r\n changed",
+                             "A: b\rc",        "A: b\nc: d",      "A: b\x01",
+                             "A: b\x7f"}) {
+        for (const std::string &before : {std::string(), interim}) {
+            const std::string text = before + "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest;
+            for (std::size_t split = 0; split <= text.size(); split++) {
+                INFO(text << " split at " << split);
+                ResponseParseStatus result = ResponseParseStatus::NeedMore;
+                CHECK_FALSE(readResponseSplit(text, split, result));
+                CHECK(result == ResponseParseStatus::Failed);
+            }
+        }
+    }
+}
+
+TEST_CASE("fields with unusual but valid characters are passed on", "[exchange]")
+{
+    const std::pair<std::string, std::string> fields[] = {
+        {"A", "b\tc"}, {"A", "\xe9\xff"}, {"A", ""}, {"A", "b  c"}, {"!#$%&'*+-.^_`|~09azAZ", "x"}};
+    for (const auto &[name, value] : fields) {
+        const std::string text
+            = "HTTP/1.1 200 OK\r\n" + name + ": \t" + value + " \r\nContent-Length: 2\r\n\r\nok";
+        for (std::size_t split = 0; split <= text.size(); split++) {
+            INFO(text << " split at " << split);
+            ResponseParseStatus result = ResponseParseStatus::NeedMore;
+            const auto response = readResponseSplit(text, split, result);
+            REQUIRE(response);
+            CHECK(response->headers.get(name) == value);
+            CHECK(response->body == "ok");
+        }
+    }
+}
+
 TEST_CASE("a connection is not kept after a 204 that states a body", "[exchange]")
 {
     for (const char *framing : {"Content-Length: 2", "Transfer-Encoding: chunked"}) {
--- /dev/null
+++ b/tests/broken_answer_path_test.cpp
@@ -0,0 +1,85 @@
+/** @file broken_answer_path_test.cpp What callers get when the server sends malformed answers. */
+#include "scripted_server.h"
+#include "vm_site.h"
+
+#include "base/endpoint_func.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelwell;
+
+namespace {
+
+constexpr std::uint16_t PORT = 27490; ///< First port of the site.
+constexpr int BAD_GATEWAY = 502;
+
+/** A site whose server was sound until it is in use, and then follows a script. */
+class TroubledSite : public VmSite
+{
+public:
+    TroubledSite() : VmSite(PORT)
+    {
+        startDaemon();
+        CHECK(report("i1", 1000, 1) == 200);
+        REQUIRE(askUntil(200) == 200);
+        stopServer();
+        const Endpoint address = parseEndpoint(serverAddress()).value();
+        m_server = std::make_unique<ScriptedServer>(loop(), address.ip, address.port);
+    }
+
+    /**
+     * Sends a caller's request.
+     * @param statusAndFields Start of the answer's head, which is followed by the fields of a sound
+     * one and a body.
+     * @return the status that the caller gets.
+     */
+    int statusFor(const std::string &statusAndFields)
+    {
+        m_server->script.parts = {statusAndFields + soundFields() + "ok"};
+        return ask();
+    }
+
+    /** @return the fields of a sound answer to the next request, and the empty line. */
+    std::string soundFields() const
+    {
+        return "Cornelwell-Try-Id: " + nextRequestId()
+               + "\r\nCornelwell-Server-Seal: s\r\nContent-Length: 2\r\n\r\n";
+    }
+
+private:
+    std::unique_ptr<ScriptedServer> m_server;
+};
+
+} // namespace
+
+TEST_CASE("callers get no answer with a status that is none of HTTP", "[node]")
+{
+    TroubledSite site;
+    for (const char *status : {"000", "001", "600", "999"}) {
+        INFO(status);
+        const std::string line = std::string("HTTP/1.1 ") + status + " Odd\r\n";
+        CHECK(site.statusFor(line) == BAD_GATEWAY);
+        // The body looks like an answer.
+        const std::string inner = "HTTP/1.1 200 OK\r\n" + site.soundFields() + "ok";
+        const std::string length = "Content-Length: " + std::to_string(inner.size()) + "\r\n\r\n";
+        CHECK(site.statusFor(line + length + "HTTP/1.1 200 OK\r\n") == BAD_GATEWAY);
+    }
+    CHECK(site.statusFor("HTTP/1.1 200 OK\r\n") == 200);
+}
+
+TEST_CASE("callers get no answer in whose head a field is malformed", "[node]")
+{
+    TroubledSite site;
+    for (const char *line :
+         {"Bad Name: x", "Bad\tName: x", "Bad\x01Name: x", "Bad\x7fName: x", "Bad\xe9Name: x",
+          "Name : x", "Name\t: x", ": x", "Name", " Name: x", "\tName: x", "A: b\r\n c",
+          "A: b\r\n\tc", "A:\r\n c", "A: b\r\n ", "Cornelwell-Server-Seal: s\r\n changed"}) {
+        INFO(line);
+        CHECK(site.statusFor(std::string("HTTP/1.1 200 OK\r\n") + line + "\r\n") == BAD_GATEWAY);
+    }
+    for (const char *line : {"A: b", "A:b", "A:", "A: ", "A: \t b \t ", "A: b\tc", "A: \xe9\xff",
+                             "!#$%&'*+-.^_`|~09azAZ: x"}) {
+        INFO(line);
+        CHECK(site.statusFor(std::string("HTTP/1.1 200 OK\r\n") + line + "\r\n") == 200);
+    }
+}
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -62,8 +62,7 @@
 /** @return false when the connection has ended. */
 bool ScriptedServer::serve(Client &client)
 {
-    const bool isOpen
-        = readRequest(client) && (client.received < script.requestBytes || sendNext(client));
+    const bool isOpen = readRequest(client) && (!hasRequest(client) || sendNext(client));
     if (!isOpen)
         ::close(client.socket);
     return isOpen;
@@ -79,19 +78,28 @@
     }
 }
 
+bool ScriptedServer::hasRequest(const Client &client) const
+{
+    return script.requestBytes > 0 ? client.request.size() >= script.requestBytes
+                                   : client.request.find("\r\n\r\n") != std::string::npos;
+}
+
 /** Reads as much of the request as the script asks for, and later only the end of the connection.
  * @return false when the client has closed. */
 bool ScriptedServer::readRequest(Client &client)
 {
     std::vector<char> buffer(READ_BYTES);
-    while (client.received < script.requestBytes) {
-        const std::size_t wanted = std::min(READ_BYTES, script.requestBytes - client.received);
+    while (!hasRequest(client)) {
+        const std::size_t wanted
+            = script.requestBytes > 0
+                  ? std::min(READ_BYTES, script.requestBytes - client.request.size())
+                  : READ_BYTES;
         const ssize_t count = ::recv(client.socket, buffer.data(), wanted, 0);
         if (count < 0)
             return errno == EAGAIN;
         if (count == 0)
             return false;
-        client.received += static_cast<std::size_t>(count);
+        client.request.append(buffer.data(), static_cast<std::size_t>(count));
     }
     const ssize_t count = ::recv(client.socket, buffer.data(), 1, MSG_PEEK);
     return count > 0 || (count < 0 && errno == EAGAIN);
@@ -119,6 +127,8 @@
 {
     switch (script.ending) {
     case ServerEnding::Wait:
+        client.request.clear();
+        client.partsSent = 0;
         return true;
     case ServerEnding::HalfClose:
         if (!client.halfClosed)
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -20,13 +20,15 @@
     Reset,     ///< It resets the connection.
 };
 
-/** What the server does on each of its connections. */
+/** What the server does on each of its connections. A server that waits at the end follows the
+ * script again for the next request. */
 struct ServerScript
 {
     std::vector<std::string> parts; ///< Sent one in each turn.
     std::string repeated;           ///< Sent in each turn after the parts; empty: nothing.
     ServerEnding ending = ServerEnding::Wait;
-    std::size_t requestBytes = 1; ///< Bytes of the request that it reads before it sends.
+    /** Bytes of the request that it reads before it sends; 0: the head. */
+    std::size_t requestBytes = 0;
 };
 
 /** Accepts connections and follows its script on each of them, in turns on the loop. */
@@ -44,7 +46,7 @@
     const Endpoint &endpoint() const { return m_endpoint; }
     /** @return bytes sent so far on all connections. */
     std::uint64_t bytesSent() const { return m_bytesSent; }
-    /** @return connections that neither side has closed. */
+    /** @return connections that are open on this side. */
     std::size_t openConnections() const { return m_clients.size(); }
 
     ServerScript script; ///< For connections whose request has not been answered yet.
@@ -54,7 +56,7 @@
     struct Client
     {
         int socket = -1;
-        std::size_t received = 0;
+        std::string request; ///< Received bytes of the request in progress.
         std::size_t partsSent = 0;
         bool halfClosed = false;
     };
@@ -63,6 +65,7 @@
     void acceptClients();
     bool serve(Client &client);
     bool readRequest(Client &client);
+    bool hasRequest(const Client &client) const;
     bool sendNext(Client &client);
     bool beginEnding(Client &client);
 
--- a/tests/vm_site.cpp
+++ b/tests/vm_site.cpp
@@ -126,6 +126,11 @@
     return std::string(SERVER_IP) + ":" + std::to_string(m_port + SERVER);
 }
 
+void VmSite::stopServer()
+{
+    m_server.reset();
+}
+
 void VmSite::startDaemon()
 {
     const Json settings
@@ -195,12 +200,18 @@
     return last;
 }
 
+std::string VmSite::nextRequestId() const
+{
+    return "t" + std::to_string(m_lastId + 1);
+}
+
 int VmSite::ask()
 {
     HttpRequest request;
     request.path = "/near/x";
     request.headers.add("Host", "h");
-    request.headers.add("Cornelwell-Try-Id", "t" + std::to_string(++m_lastId));
+    request.headers.add("Cornelwell-Try-Id", nextRequestId());
+    m_lastId++;
     return send(CALLS, request);
 }
 
--- a/tests/vm_site.h
+++ b/tests/vm_site.h
@@ -42,6 +42,8 @@
     void openSilentConnections(unsigned count);
     /** Sends a caller's request. @return the status of the answer. */
     int ask();
+    /** @return the identifier that the next request of ask gets. */
+    std::string nextRequestId() const;
     /** Asks until the status comes. @return the last status. */
     int askUntil(int status);
     /** @return true when the daemon becomes ready within the time. */
@@ -50,6 +52,10 @@
     void pause(Duration time);
     /** @return address of the local server. */
     std::string serverAddress() const;
+    /** Ends the local server, so that a test can put another one at its address. */
+    void stopServer();
+    /** @return the loop that runs all parts of the site. */
+    EventLoop &loop() { return m_loop; }
     /** @return the text of the daemon's metrics. */
     std::string metrics();
 
