Fix: a head without end is kept as a whole

What callers see: a faulty server sends fields of a head without end. The daemon that called it keeps them all; once it runs out of memory, the requests of all clients on its machine end with it.

Cause: the parser holds its bound (header_limit) against the bytes of one call. It takes whole fields out of the buffer and starts to count the rest only if three bytes or more of the next field are there. When each read ends one or two bytes into a field, nothing is ever counted; the fields that it took are in no count either (bufferedBytes).

Ruled out: bodies, chunk sizes, interim and stale answers, bytes after an answer: the bounds hold there ([node] server_trouble_test.cpp); also fields whose reads end in the middle of a value, which the parser then counts.

Change: ResponseReader counts the parsed bytes of a head, with those that wait. RequestReader has the same cause and gets the same count, with twice header-bytes for line and fields together, so that no request is refused that was accepted in one piece before.

Measured: on the code before, [exchange] "a head without end ..." fails for the answers with fields one by one and in blocks, and for requests, and [node] "a head without end is broken off ..." for the server and the store, as first and as interim answer (1 MB allowed, no end). With the change both pass.

--- a/src/exchange/request_reader.cpp
+++ b/src/exchange/request_reader.cpp
@@ -63,6 +63,7 @@
     // Beast parses the header only. Its result for trailer fields depends on how the bytes are
     // split between reads.
     m_parser->skip(true);
+    m_headerBytes = 0;
     m_started = false;
     m_complete = false;
     m_continueSent = false;
@@ -104,13 +105,17 @@
     const std::size_t used
         = m_parser->put(boost::asio::const_buffer(m_buffer.data(), m_buffer.size()), error);
     m_buffer.erase(0, used);
+    m_headerBytes += used;
     if (error == beast::http::error::header_limit)
         return reject(HEADER_TOO_LARGE);
     if (error && error != beast::http::error::need_more)
         return reject(BAD_REQUEST);
-    if (!m_parser->is_header_done())
-        return m_buffer.size() > m_limits.headerBytes ? reject(HEADER_TOO_LARGE)
-                                                      : RequestParseStatus::NeedMore;
+    if (!m_parser->is_header_done()) {
+        // The parser bounds the request line and the fields that it gets at once, here all count.
+        const bool isTooLarge = m_buffer.size() > m_limits.headerBytes
+                                || m_headerBytes + m_buffer.size() > 2 * m_limits.headerBytes;
+        return isTooLarge ? reject(HEADER_TOO_LARGE) : RequestParseStatus::NeedMore;
+    }
     const auto &header = m_parser->get();
     if (!hasUnambiguousFraming(header.base()) || !isAcceptableTarget(header.target()))
         return reject(BAD_REQUEST);
--- a/src/exchange/request_reader.h
+++ b/src/exchange/request_reader.h
@@ -73,6 +73,7 @@
     RequestLimits m_limits;
     std::string m_buffer;
     std::unique_ptr<Parser> m_parser;
+    std::size_t m_headerBytes = 0; ///< Bytes of the header that were parsed.
     BodyReader m_body;
     unsigned m_errorStatus = 0;
     bool m_started = false;
--- a/src/exchange/response_reader.cpp
+++ b/src/exchange/response_reader.cpp
@@ -48,6 +48,7 @@
     m_parser->eager(true);
     m_parser->header_limit(MAX_HEADER_BYTES);
     m_parser->skip(true);
+    m_headerBytes = 0;
     m_started = false;
     m_complete = false;
 }
@@ -92,6 +93,11 @@
     m_buffer.erase(0, used);
     if (isFolded)
         return ResponseParseStatus::Failed;
+    // The parser bounds the bytes that it gets at once; here all those of the header count.
+    m_headerBytes += used;
+    const std::size_t unparsedBytes = m_parser->is_header_done() ? 0 : m_buffer.size();
+    if (m_headerBytes + unparsedBytes > MAX_HEADER_BYTES)
+        return ResponseParseStatus::Failed;
     if (error && error != beast::http::error::need_more)
         return ResponseParseStatus::Failed;
     if (!m_parser->is_header_done())
--- a/src/exchange/response_reader.h
+++ b/src/exchange/response_reader.h
@@ -60,6 +60,7 @@
     std::string m_method;
     unsigned m_interimResponses = 0; ///< Before the response in progress.
     std::unique_ptr<Parser> m_parser;
+    std::size_t m_headerBytes = 0; ///< Bytes of the header that were parsed.
     bool m_started = false;
     bool m_isEndAmbiguous = false; ///< The response states a body that it may not have.
     bool m_keepAlive = false;
--- a/src/exchange/tests/exchange_test.cpp
+++ b/src/exchange/tests/exchange_test.cpp
@@ -371,3 +371,44 @@
         }
     }
 }
+
+// Guards against fields without end that arrive in pieces that the parser can take as a whole: it
+// counted the bytes of each piece only, and the daemon kept all fields.
+TEST_CASE("a head without end is rejected at its limit, however its bytes are split", "[exchange]")
+{
+    constexpr std::size_t RESPONSE_LIMIT = 65536;
+    for (const std::size_t shift : {0, 1, 2, 3, 4, 5, 6, 7}) {
+        for (const std::size_t pieceFields : {1, 100}) {
+            INFO("shift " << shift << ", " << pieceFields << " fields in a piece");
+            std::string piece;
+            for (std::size_t i = 0; i < pieceFields; i++)
+                piece += "A: b\r\n";
+            const std::string before = piece.substr(0, shift % piece.size());
+            const std::string rotated = piece.substr(before.size()) + before;
+
+            ResponseReader responses;
+            responses.beginResponse("GET");
+            responses.feed("HTTP/1.1 200 OK\r\n" + before);
+            std::size_t sent = 0;
+            while (responses.parse() == ResponseParseStatus::NeedMore
+                   && sent < 4 * RESPONSE_LIMIT) {
+                responses.feed(rotated);
+                sent += rotated.size();
+            }
+            CHECK(responses.parse() == ResponseParseStatus::Failed);
+            CHECK(sent <= RESPONSE_LIMIT + rotated.size());
+
+            RequestReader requests(LIMITS);
+            requests.feed("GET / HTTP/1.1\r\n" + before);
+            sent = 0;
+            while (requests.parse() == RequestParseStatus::NeedMore
+                   && sent < 100 * LIMITS.headerBytes) {
+                requests.feed(rotated);
+                sent += rotated.size();
+            }
+            CHECK(requests.parse() == RequestParseStatus::Failed);
+            CHECK(requests.errorStatus() == 431);
+            CHECK(sent <= 2 * LIMITS.headerBytes + rotated.size());
+        }
+    }
+}
--- a/src/node/tests/broken_answers_test.cpp
+++ b/src/node/tests/broken_answers_test.cpp
@@ -168,3 +168,34 @@
         CHECK(response.error().code == ResultCode::PlatformProtocol);
     }
 }
+
+// Guards against bytes without end that are counted in pieces: the daemon kept all of them and ran
+// out of memory.
+TEST_CASE("a head without end is broken off at its limit", "[node]")
+{
+    constexpr std::uint64_t MAX_SENT_BYTES = 1024 * 1024; // The limit, and what sockets hold.
+    std::string block;
+    while (block.size() < 16384)
+        block += ": b\r\nA";
+    for (const char *start : {"HTTP/1.1 200 OK\r\nA", "HTTP/1.1 100 Continue\r\nA"}) {
+        INFO(start);
+        PoolFixture pool;
+        pool.server.script = {{start}, block};
+        pool.pool.send(pool.server.endpoint(), {1, upload(1), "r"});
+        runUntil(pool.loop, [&] {
+            return pool.results.count(1) != 0 || pool.server.bytesSent() > MAX_SENT_BYTES;
+        });
+        CHECK(pool.server.bytesSent() <= MAX_SENT_BYTES);
+        CHECK(pool.results[1].outcome.reason == HostReason::Garbled);
+
+        StoreFixture store;
+        store.server.script = {{start}, block};
+        std::optional<ResultCode> code;
+        store.client.call(upload(1), seconds(20), [&](const Result<HttpResponse> &response) {
+            code = response ? ResultCode::Ok : response.error().code;
+        });
+        runUntil(store.loop, [&] { return code || store.server.bytesSent() > MAX_SENT_BYTES; });
+        CHECK(store.server.bytesSent() <= MAX_SENT_BYTES);
+        CHECK(code == ResultCode::PlatformProtocol);
+    }
+}
