Fix: answers without end take four times the memory that is counted

What callers see: a faulty server sends bodies without end in all its slots at once. Each is broken off at 24 MB for all together, yet the daemon beside it grows to more than the smallest VM has (88 MB); there, the requests of all clients on the machine end with it.

Cause: the allocator. Once a large buffer is freed, glibc raises the size from which it maps buffers on their own, up to 32 MB. Bodies that grow by doubling then come from the heap, one beside the other, and leave gaps that are neither used nor returned.

Change: the program fixes the size at its initial value (128 KiB), so that each large buffer goes back to the system when it is freed. Smaller ones are served as before, and so is all traffic without large bodies.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp The one binary: daemons and operators' command line. */
+#include "base/memory_func.h"
 #include "cli/cli.h"
 #include "log/log.h"
 #include "node/proxy_node.h"
@@ -29,6 +30,7 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    cornelwell::returnFreedBuffersToSystem();
     if (argc == 2 && std::strcmp(argv[1], "proxy") == 0)
         return runProxy();
     return cornelwell::runCommandLine({argv + 1, argv + argc});
