Codechange: responses are read in http/, with limits as parameters

Cause: the client of the threaded daemon reads answers with a parser of its own and takes broken ones that ResponseReader refuses. It is in http/, which exchange/ includes, so the reader has to be below both.

Ruled out: the same checks a second time in http/; the client in exchange/, since store/ and five other slices include it from http/.

Change: ResponseReader and BodyReader move to http/; ResponseLimits holds the bounds, with the present ones as defaults. Nothing else changes.

--- a/src/exchange/request_reader.h
+++ b/src/exchange/request_reader.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/result.h"
-#include "exchange/body_reader.h"
+#include "http/body_reader.h"
 #include "http/http_type.h"
 
 #include <cstddef>
--- a/src/exchange/tests/exchange_test.cpp
+++ b/src/exchange/tests/exchange_test.cpp
@@ -1,7 +1,7 @@
 /** @file exchange_test.cpp Parsing of requests and responses at every split of the bytes. */
 #include "exchange/message_func.h"
 #include "exchange/request_reader.h"
-#include "exchange/response_reader.h"
+#include "http/response_reader.h"
 
 #include <catch2/catch.hpp>
 
@@ -376,7 +376,7 @@
 // counted the bytes of each piece only, and the daemon kept all fields.
 TEST_CASE("a head without end is rejected at its limit, however its bytes are split", "[exchange]")
 {
-    constexpr std::size_t RESPONSE_LIMIT = 65536;
+    const std::size_t RESPONSE_LIMIT = ResponseLimits().headerBytes;
     for (const std::size_t shift : {0, 1, 2, 3, 4, 5, 6, 7}) {
         for (const std::size_t pieceFields : {1, 100}) {
             INFO("shift " << shift << ", " << pieceFields << " fields in a piece");
--- a/src/exchange/body_reader.cpp
+++ b/src/http/body_reader.cpp
@@ -1,5 +1,5 @@
 /** @file body_reader.cpp Strict parsing of body framing. */
-#include "exchange/body_reader.h"
+#include "http/body_reader.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/exchange/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -1,5 +1,5 @@
 /** @file response_reader.cpp Response parsing with Boost.Beast. */
-#include "exchange/response_reader.h"
+#include "http/response_reader.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr std::size_t MAX_HEADER_BYTES = 65536;          ///< Longest header of a response.
-constexpr std::size_t MAX_BODY_BYTES = 16 * 1024 * 1024; ///< Longest body of a response.
 /** Most interim responses before the final one. */
 constexpr unsigned MAX_INTERIM_RESPONSES = 16;
 constexpr unsigned MIN_STATUS = 100;       ///< Lowest status of HTTP.
@@ -38,7 +36,7 @@
 
 } // namespace
 
-ResponseReader::ResponseReader() = default;
+ResponseReader::ResponseReader(ResponseLimits limits) : m_limits(limits) {}
 
 ResponseReader::~ResponseReader() = default;
 
@@ -46,7 +44,7 @@
 {
     m_parser = std::make_unique<Parser>();
     m_parser->eager(true);
-    m_parser->header_limit(MAX_HEADER_BYTES);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
     m_parser->skip(true);
     m_headerBytes = 0;
     m_started = false;
@@ -96,7 +94,7 @@
     // The parser bounds the bytes that it gets at once; here all those of the header count.
     m_headerBytes += used;
     const std::size_t unparsedBytes = m_parser->is_header_done() ? 0 : m_buffer.size();
-    if (m_headerBytes + unparsedBytes > MAX_HEADER_BYTES)
+    if (m_headerBytes + unparsedBytes > m_limits.headerBytes)
         return ResponseParseStatus::Failed;
     if (error && error != beast::http::error::need_more)
         return ResponseParseStatus::Failed;
@@ -118,12 +116,12 @@
         || status == NOT_MODIFIED)
         m_body.beginFixedLength(0, 0);
     else if (codings == 0 && length)
-        m_body.beginFixedLength(*length, MAX_BODY_BYTES);
+        m_body.beginFixedLength(*length, m_limits.bodyBytes);
     else if (codings == 0)
-        m_body.beginUntilClose(MAX_BODY_BYTES);
+        m_body.beginUntilClose(m_limits.bodyBytes);
     else if (codings == 1 && header.count(beast::http::field::content_length) == 0
              && beast::iequals(header[beast::http::field::transfer_encoding], "chunked"))
-        m_body.beginChunked(MAX_BODY_BYTES);
+        m_body.beginChunked(m_limits.bodyBytes);
     else
         return ResponseParseStatus::Failed;
     return ResponseParseStatus::Complete;
--- a/src/exchange/response_reader.h
+++ b/src/http/response_reader.h
@@ -1,7 +1,7 @@
 /** @file response_reader.h Incremental parser of HTTP/1.1 responses. */
 #pragma once
 
-#include "exchange/body_reader.h"
+#include "http/body_reader.h"
 #include "http/http_type.h"
 
 #include <memory>
@@ -18,11 +18,18 @@
     Failed,   ///< The bytes are not an acceptable response.
 };
 
+/** Size limits of one response. */
+struct ResponseLimits
+{
+    std::size_t headerBytes = 65536;          ///< Status line and header fields, in bytes.
+    std::size_t bodyBytes = 16 * 1024 * 1024; ///< Decoded body, in bytes.
+};
+
 /** Parses the bytes of one connection into responses. Does no input or output. */
 class ResponseReader
 {
 public:
-    ResponseReader();
+    explicit ResponseReader(ResponseLimits limits = {});
     ~ResponseReader();
 
     /** Starts the response to the next request. @param method Method of that request. */
@@ -54,6 +61,7 @@
     ResponseParseStatus readHeader();
     ResponseParseStatus readBody();
 
+    const ResponseLimits m_limits;
     std::string m_buffer;
     BodyReader m_body;
     bool m_complete = false;
--- a/src/node/server_connection_pool.cpp
+++ b/src/node/server_connection_pool.cpp
@@ -3,7 +3,7 @@
 #include "node/server_connection_pool.h"
 
 #include "exchange/message_func.h"
-#include "exchange/response_reader.h"
+#include "http/response_reader.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -1,7 +1,7 @@
 /** @file store_client.h Client of the platform's store on one persistent connection. */
 #pragma once
 
-#include "exchange/response_reader.h"
+#include "http/response_reader.h"
 #include "http/http_type.h"
 #include "loop/tcp_connection.h"
 
