Fix: the client of the threaded daemon takes malformed answers

What callers saw: `cornelwell daemon` passed on answers with status 000, 099, 600 or 999, and 100 and 101 with a length as final ones; answers with a folded line, joined to the value above it; it kept a head without end. The same client asks other daemons, the store and, for the command line, the daemons, and probes servers.

Cause: HttpClient had a reader of its own around the parser, which checks none of this; the checks of ResponseReader didn't apply to it.

Ruled out: cut answers and answers without a length (Malformed before, also when a write fails: the exchange ends there); bodies without end (body_limit held); malformed names of fields.

Change: HttpClient reads with ResponseReader, with its own limits (16 KB head, the body's bound of the caller). It passes over interim answers as a consequence; before, each made a sound answer Malformed.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -4,11 +4,12 @@
 
 #include "base/endpoint_func.h"
 #include "http/deadline_stream.h"
+#include "http/response_reader.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <thread>
 
@@ -20,7 +21,8 @@
 using boost::system::error_code;
 
 constexpr Duration IDLE_MAX = seconds(8); ///< Unused connections older than this are closed.
-constexpr std::uint32_t HEADER_BYTES_MAX = 16 * 1024; ///< Longest header of an answer.
+constexpr std::size_t HEADER_BYTES_MAX = 16 * 1024; ///< Longest header of an answer.
+constexpr std::size_t READ_BYTES_MAX = 16 * 1024;   ///< Bytes that one call reads.
 
 http::request<http::string_body> toBeast(const Endpoint &server, const HttpRequest &request)
 {
@@ -39,16 +41,6 @@
     return message;
 }
 
-HttpResponse fromBeast(http::response<http::string_body> &&message)
-{
-    HttpResponse response;
-    response.status = static_cast<int>(message.result_int());
-    for (const auto &field : message.base())
-        response.headers.add(std::string(field.name_string()), std::string(field.value()));
-    response.body = std::move(message.body());
-    return response;
-}
-
 HttpFailure failureOf(const DeadlineStream &stream, const error_code &error)
 {
     if (!stream.hasSent())
@@ -57,8 +49,7 @@
         return HttpFailure::Cancelled;
     if (error == boost::asio::error::timed_out)
         return HttpFailure::TimedOut;
-    if (error == http::error::end_of_stream || error == boost::asio::error::eof
-        || error.category() == boost::system::system_category())
+    if (error == boost::asio::error::eof || error.category() == boost::system::system_category())
         return HttpFailure::Broken;
     return HttpFailure::Malformed;
 }
@@ -69,6 +60,30 @@
     outcome.detail = error.message();
 }
 
+/** Reads until the answer is complete. An answer that ends with the connection cannot be told from
+ * one that was cut. @return true when it is complete. */
+bool receive(DeadlineStream &stream, ResponseReader &reader, HttpOutcome &outcome)
+{
+    std::array<char, READ_BYTES_MAX> bytes;
+    ResponseParseStatus status = ResponseParseStatus::NeedMore;
+    while (status == ResponseParseStatus::NeedMore) {
+        error_code error;
+        const std::size_t count = stream.read_some(boost::asio::buffer(bytes), error);
+        if (error) {
+            const bool isCut = error == boost::asio::error::eof && reader.started();
+            failWith(outcome, isCut ? HttpFailure::Malformed : failureOf(stream, error), error);
+            return false;
+        }
+        reader.feed({bytes.data(), count});
+        status = reader.parse();
+    }
+    if (status == ResponseParseStatus::Complete)
+        return true;
+    outcome.failure = HttpFailure::Malformed;
+    outcome.detail = "the answer is malformed or too large";
+    return false;
+}
+
 /** One request and its answer on an open connection. @return true when the connection can be kept.
  */
 bool exchange(DeadlineStream &stream, const Endpoint &server, const HttpRequest &request,
@@ -82,28 +97,12 @@
         failWith(outcome, failureOf(stream, error), error);
         return false;
     }
-    boost::beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(HEADER_BYTES_MAX);
-    parser.body_limit(bounds.bodyBytesMax);
-    parser.skip(request.method == "HEAD");
-    http::read(stream, buffer, parser, error);
-    if (error) {
-        failWith(outcome, failureOf(stream, error), error);
-        return false;
-    }
-    // An answer that ends with the connection cannot be told from one that was cut.
-    const bool delimited = parser.get().has_content_length() || parser.chunked()
-                           || request.method == "HEAD" || parser.get().result_int() == 304
-                           || parser.get().result_int() == 204;
-    if (!delimited) {
-        outcome.failure = HttpFailure::Malformed;
-        outcome.detail = "the answer states no length";
+    ResponseReader reader({HEADER_BYTES_MAX, bounds.bodyBytesMax});
+    reader.beginResponse(request.method);
+    if (!receive(stream, reader, outcome))
         return false;
-    }
-    const bool keepAlive = parser.keep_alive() && buffer.size() == 0;
-    outcome.response = fromBeast(parser.release());
-    return keepAlive;
+    outcome.response = reader.take();
+    return reader.keepAlive() && !reader.hasExtraBytes();
 }
 
 } // namespace
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <thread>
 
@@ -144,6 +145,95 @@
     }
 }
 
+// Guards against answers that the client of the event loop refuses and this one took.
+TEST_CASE("a malformed answer is none", "[http][threaded]")
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 2\r\n\r\nok";
+    const std::string answers[] = {
+        "HTTP/1.1 000 Odd\r\n" + body,       "HTTP/1.1 099 Odd\r\n" + body,
+        "HTTP/1.1 100 Continue\r\n" + body,  "HTTP/1.1 101 Switching Protocols\r\n" + body,
+        "HTTP/1.1 600 Odd\r\n" + body,       "HTTP/1.1 999 Odd\r\n" + body,
+        sound + "A: b\r\n c\r\n" + body,     sound + "A: b\r\n\tc\r\n" + body,
+        sound + " A: b\r\n" + body,          sound + "Bad Name: b\r\n" + body,
+        sound + "Bad\x01Name: b\r\n" + body, sound + "Name : b\r\n" + body,
+    };
+    for (const std::string &answer : answers) {
+        INFO(answer);
+        RawServer server([&](int connection) {
+            readRequest(connection);
+            writeText(connection, answer);
+        });
+        const SystemClock clock;
+        HttpClient client(clock, 4);
+        CHECK(ask(client, server.endpoint).failure == HttpFailure::Malformed);
+    }
+}
+
+TEST_CASE("unusual but valid answers are taken", "[http][threaded]")
+{
+    const std::string body = "Content-Length: 2\r\n\r\nok";
+    const std::string answers[] = {
+        "HTTP/1.1 200 \r\n" + body,
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + body,
+        "HTTP/1.1 200 OK\r\nA: \xe9\tb\r\n!#$%&'*+-.^_`|~: x\r\n" + body,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+    };
+    for (const std::string &answer : answers) {
+        INFO(answer);
+        RawServer server([&](int connection) {
+            readRequest(connection);
+            writeText(connection, answer);
+        });
+        const SystemClock clock;
+        HttpClient client(clock, 4);
+        const HttpOutcome outcome = ask(client, server.endpoint);
+        CHECK(outcome.failure == HttpFailure::None);
+        CHECK(outcome.response.status == 200);
+        CHECK(outcome.response.body == "ok");
+    }
+}
+
+TEST_CASE("an answer without end is broken off", "[http][threaded]")
+{
+    constexpr std::size_t HEAD_BYTES_MAX = 128 * 1024; // The limit, and what one read may bring.
+    constexpr std::size_t BODY_BYTES_MAX = 2 * 1024 * 1024;
+    constexpr int PIECES = 4000;
+    struct Flood
+    {
+        std::string start;
+        std::string repeated;
+        std::size_t bytesMax;
+    };
+    std::string fields;
+    while (fields.size() < 200)
+        fields += ": b\r\nA";
+    const Flood floods[] = {
+        {"HTTP/1.1 200 OK\r\nA", fields, HEAD_BYTES_MAX},
+        {"HTTP/1.1 100 Continue\r\nA", fields, HEAD_BYTES_MAX},
+        {"HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x'), BODY_BYTES_MAX},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "3e8\r\n" + std::string(1000, 'x') + "\r\n", BODY_BYTES_MAX},
+    };
+    for (const Flood &flood : floods) {
+        INFO(flood.start);
+        RawServer server([&](int connection) {
+            readRequest(connection);
+            writeText(connection, flood.start);
+            for (int i = 0; i < PIECES; i++) {
+                // Pauses keep the pieces apart, so that each read ends within a field's name.
+                std::this_thread::sleep_for(std::chrono::microseconds(100));
+                writeText(connection, flood.repeated);
+            }
+        });
+        const SystemClock clock;
+        HttpClient client(clock, 4);
+        const HttpOutcome outcome = ask(client, server.endpoint, seconds(60));
+        CHECK(outcome.failure == HttpFailure::Malformed);
+        CHECK(client.traffic().bytesReceived <= flood.bytesMax);
+    }
+}
+
 TEST_CASE("a connection that is refused is known not to have sent", "[http][threaded]")
 {
     Endpoint closed;
