Fix: bytes of a store's answer that broke off stand before the next one

Cause: StoreClient has one ResponseReader for all its connections, and beginResponse() started a new parser but kept the bytes that had arrived. The parser takes a head in whole lines, so the start of a cut line stayed, and the next answer was parsed behind it.

Ruled out: the pool of connections to the server has a reader for each connection, and keeps none with bytes left over; HttpClient has a reader for each exchange.

Change: beginResponse() drops buffered bytes and an unfinished body, whoever owns the reader. A connection with bytes left over is closed before the next request, as before, so nothing of the present connection is lost.

--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -55,6 +55,8 @@
 {
     m_method = std::string(method);
     m_interimResponses = 0;
+    m_buffer.clear();
+    m_body = {};
     reset();
 }
 
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -32,7 +32,8 @@
     explicit ResponseReader(ResponseLimits limits = {});
     ~ResponseReader();
 
-    /** Starts the response to the next request. @param method Method of that request. */
+    /** Starts the response to the next request; drops bytes that belong to no response taken
+     * before, such as those of one that broke off. @param method Method of that request. */
     void beginResponse(std::string_view method);
     /** Appends received bytes to the buffer. */
     void feed(std::string_view bytes) { m_buffer.append(bytes); }
