Fix: a peer's result with a status that is none of HTTP is passed on

What callers can see: during an update of the fleet, a daemon of an earlier build passes on a server's status of 600 to 999, and the daemon of the caller hands it out.

Cause: results on a link are decoded without a check of the status.

Ruled out: fields (each name and value comes from a parser that checked it, and the encoding ends each at a line feed); cut bodies (a result counts only with all the bytes that it states).

Change: an answered result whose status is not 200 to 599 becomes an unknown outcome, as it is for an answer of the daemon's own server. The link stays. The limits of a status have one home, http_type.h; ResponseReader::beginBody() is split off.

Measured: on the code before, [link] "a result of a peer with a status ..." fails for all seven statuses; with the change it passes, as do [exchange], [http] and broken_answers_test.cpp.

--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -81,6 +81,18 @@
     std::string detail;                      ///< For a person.
 };
 
+/** @return true for the status of a response that another one follows: 100 to 199. */
+constexpr bool isInterimStatus(int status)
+{
+    return status >= 100 && status <= 199;
+}
+
+/** @return true for the status of a response that ends an exchange: 200 to 599. */
+constexpr bool isFinalStatus(int status)
+{
+    return status >= 200 && status <= 599;
+}
+
 /** @return the usual text of a status. */
 const char *httpStatusText(int status);
 
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -15,12 +15,9 @@
 
 /** Most interim responses before the final one. */
 constexpr unsigned MAX_INTERIM_RESPONSES = 16;
-constexpr unsigned MIN_STATUS = 100;       ///< Lowest status of HTTP.
-constexpr unsigned MAX_STATUS = 599;       ///< Highest status of HTTP.
-constexpr unsigned MIN_FINAL_STATUS = 200; ///< Responses with a lower status are interim.
-constexpr unsigned NO_CONTENT = 204;
-constexpr unsigned NOT_MODIFIED = 304;
-constexpr unsigned SWITCHING_PROTOCOLS = 101; ///< An error: no request asks for an upgrade.
+constexpr int NO_CONTENT = 204;
+constexpr int NOT_MODIFIED = 304;
+constexpr int SWITCHING_PROTOCOLS = 101; ///< An error: no request asks for an upgrade.
 
 /** @return true when a line begins with a blank or a tab, which continues the value of the field
  * before it (obsolete line folding, RFC 9112, section 5.2). */
@@ -68,18 +65,20 @@
             if (headerStatus != ResponseParseStatus::Complete)
                 return headerStatus;
         }
-        const unsigned status = m_parser->get().result_int();
-        if (status < MIN_FINAL_STATUS) {
-            if (status == SWITCHING_PROTOCOLS || ++m_interimResponses > MAX_INTERIM_RESPONSES)
-                return ResponseParseStatus::Failed;
-            reset();
-            continue;
-        }
-        return readBody();
+        if (isFinalStatus(status()))
+            return readBody();
+        if (status() == SWITCHING_PROTOCOLS || ++m_interimResponses > MAX_INTERIM_RESPONSES)
+            return ResponseParseStatus::Failed;
+        reset();
     }
     return ResponseParseStatus::Complete;
 }
 
+int ResponseReader::status() const
+{
+    return static_cast<int>(m_parser->get().result_int());
+}
+
 ResponseParseStatus ResponseReader::readHeader()
 {
     if (m_buffer.empty())
@@ -100,22 +99,25 @@
         return ResponseParseStatus::Failed;
     if (error && error != beast::http::error::need_more)
         return ResponseParseStatus::Failed;
-    if (!m_parser->is_header_done())
-        return ResponseParseStatus::NeedMore;
+    return m_parser->is_header_done() ? beginBody() : ResponseParseStatus::NeedMore;
+}
+
+/** Determines from the header how the body ends. */
+ResponseParseStatus ResponseReader::beginBody()
+{
     const auto &header = m_parser->get();
-    const unsigned status = header.result_int();
     const auto codings = header.count(beast::http::field::transfer_encoding);
     const auto length = m_parser->content_length();
-    if (status < MIN_STATUS || status > MAX_STATUS)
+    const bool isInterim = isInterimStatus(status());
+    if (!isInterim && !isFinalStatus(status()))
         return ResponseParseStatus::Failed;
     // Bytes after a response that states a body and may have none have two readings: the body, or
     // the next response.
-    m_isEndAmbiguous = (status < MIN_FINAL_STATUS || status == NO_CONTENT)
-                       && (codings > 0 || length.value_or(0) > 0);
-    if (status < MIN_FINAL_STATUS && m_isEndAmbiguous)
+    m_isEndAmbiguous
+        = (isInterim || status() == NO_CONTENT) && (codings > 0 || length.value_or(0) > 0);
+    if (isInterim && m_isEndAmbiguous)
         return ResponseParseStatus::Failed;
-    if (m_method == "HEAD" || status < MIN_FINAL_STATUS || status == NO_CONTENT
-        || status == NOT_MODIFIED)
+    if (m_method == "HEAD" || isInterim || status() == NO_CONTENT || status() == NOT_MODIFIED)
         m_body.beginFixedLength(0, 0);
     else if (codings == 0 && length)
         m_body.beginFixedLength(*length, m_limits.bodyBytes);
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -59,7 +59,9 @@
     struct Parser;
 
     void reset();
+    int status() const;
     ResponseParseStatus readHeader();
+    ResponseParseStatus beginBody();
     ResponseParseStatus readBody();
 
     const ResponseLimits m_limits;
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -297,6 +297,13 @@
     m.load = loadFromJson(list.at(10));
     m.outcome.nestedFailure = list.at(11).get<bool>();
     m.bodyBytesToFollow = optionalAt(list, 12, std::uint64_t{0});
+    // A peer of an earlier build passes on what its server sent.
+    if (m.outcome.state == RunState::Answered && !isFinalStatus(m.outcome.response.status)) {
+        m.outcome.state = RunState::Unknown;
+        m.outcome.reason = HostReason::Garbled;
+        m.outcome.response = {};
+        m.bodyBytesToFollow = 0;
+    }
     return m;
 }
 
--- a/src/link/tests/link_test.cpp
+++ b/src/link/tests/link_test.cpp
@@ -318,3 +318,25 @@
     CHECK(std::get<LinkCall>(messages[2]).offer == 3);
     CHECK(std::get<LinkCancel>(messages[3]).offer == 2);
 }
+
+TEST_CASE("a result of a peer with a status that is none of HTTP is no answer", "[link]")
+{
+    for (const int status : {-1, 0, 99, 100, 199, 600, 999}) {
+        INFO(status);
+        LinkResult sent;
+        sent.offer = 7;
+        sent.outcome.state = RunState::Answered;
+        sent.outcome.response.status = status;
+        sent.outcome.response.body = "body";
+        sent.bodyBytesToFollow = 5;
+        const std::string bytes = encodeLinkMessage(sent);
+        const Result<LinkMessage> message = decodeLinkMessage(std::string_view(bytes).substr(4));
+        REQUIRE(message);
+        const auto &result = std::get<LinkResult>(message.value());
+        CHECK(result.offer == 7);
+        CHECK(result.outcome.state == RunState::Unknown);
+        CHECK(result.outcome.reason == HostReason::Garbled);
+        CHECK(result.outcome.response.body.empty());
+        CHECK(result.bodyBytesToFollow == 0);
+    }
+}
