Fix: a store's refusal that ends with the connection is taken for an answer

What was seen: nothing yet; found when all readers of answers were read. A 429 or 503 of the store without a length, which ends with the connection, was handed to the caller of StoreClient as an answer.

Cause: disconnected() completed the call with the response by itself, past the check of received().

Ruled out: the other end of a call, with a length or in chunks, was a refusal before.

Change: both ways end in completeWith().

Measured: on the code before, [node] "a store's refusal that ends with the connection is a refusal" fails; with the change it passes, as does [adapter].

--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -104,20 +104,26 @@
     HttpResponse response = m_reader.take();
     if (!m_reader.keepAlive() || m_reader.hasExtraBytes())
         closeConnection();
+    completeWith(std::move(response));
+}
+
+/** Ends the call in progress with a response of the store. */
+void StoreClient::completeWith(HttpResponse response)
+{
     if (response.status == TOO_MANY_REQUESTS || response.status == SERVICE_UNAVAILABLE) {
         completeCall(fail(ResultCode::PlatformThrottled,
                           "the store responded with status " + std::to_string(response.status),
                           formatEndpoint(m_address)));
         return;
     }
-    completeCall(response);
+    completeCall(std::move(response));
 }
 
 void StoreClient::disconnected(DisconnectReason reason)
 {
     if (m_requestSent && reason == DisconnectReason::Eof
         && m_reader.handleEof() == ResponseParseStatus::Complete) {
-        completeCall(m_reader.take());
+        completeWith(m_reader.take());
         return;
     }
     if (m_queue.empty() || m_timeoutTimer == 0)
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -1,8 +1,8 @@
 /** @file store_client.h Client of the platform's store on one persistent connection. */
 #pragma once
 
-#include "http/response_reader.h"
 #include "http/http_type.h"
+#include "http/response_reader.h"
 #include "loop/tcp_connection.h"
 
 #include <deque>
@@ -55,6 +55,7 @@
     void disconnected(DisconnectReason reason) override;
     void startNextCall();
     void startTimeout(Duration timeout);
+    void completeWith(HttpResponse response);
     void completeCall(const Result<HttpResponse> &result);
     void closeConnection();
 
--- a/src/node/tests/broken_answers_test.cpp
+++ b/src/node/tests/broken_answers_test.cpp
@@ -218,3 +218,15 @@
         }
     }
 }
+
+TEST_CASE("a store's refusal that ends with the connection is a refusal", "[node]")
+{
+    for (const char *status : {"429", "503"}) {
+        StoreFixture store;
+        store.server.script
+            = {{std::string("HTTP/1.1 ") + status + " Busy\r\n\r\nlater"}, "", ServerEnding::Close};
+        const Result<HttpResponse> response = store.call(HttpRequest());
+        REQUIRE_FALSE(response);
+        CHECK(response.error().code == ResultCode::PlatformThrottled);
+    }
+}
