Fix: chunks of one byte without end keep the loop busy

What callers see: a faulty server sends chunks of one byte without end, in several calls at once. The daemon beside it moves bytes in memory for most of the time, other requests wait, and the answers end at their deadlines instead of their bound.

Cause: BodyReader took each part of a chunk off the front of the buffer, and moved the rest of a block of 32 KB to the front each time, some 16,000 times a block.

Ruled out: the bound itself (16 MB of body; it is reached, only late), copies of the body.

Change: a call of consume() works on a view and takes what it has read off the buffer once.

--- a/src/http/body_reader.cpp
+++ b/src/http/body_reader.cpp
@@ -13,7 +13,7 @@
 constexpr unsigned HEX_BASE = 16;
 
 /** @return the size, in bytes, in a chunk size line; nothing when the line is malformed. */
-std::optional<std::uint64_t> parseChunkSize(const std::string &line)
+std::optional<std::uint64_t> parseChunkSize(std::string_view line)
 {
     std::size_t digits = 0;
     std::uint64_t size = 0;
@@ -53,55 +53,58 @@
 
 BodyParseStatus BodyReader::consume(std::string &buffer)
 {
-    if (m_framing != Framing::Chunked)
-        return m_framing == Framing::FixedLength && m_bytesLeft > m_maxBytes
-                   ? BodyParseStatus::TooLarge
-                   : consumeBytes(buffer);
+    if (m_framing == Framing::FixedLength && m_bytesLeft > m_maxBytes)
+        return BodyParseStatus::TooLarge;
+    std::string_view bytes = buffer;
     BodyParseStatus status = BodyParseStatus::Complete;
-    while (status == BodyParseStatus::Complete && !m_complete)
-        status = consumeChunk(buffer);
+    if (m_framing != Framing::Chunked)
+        status = consumeBytes(bytes);
+    while (m_framing == Framing::Chunked && status == BodyParseStatus::Complete && !m_complete)
+        status = consumeChunk(bytes);
+    // Once for all parts: a block of small chunks would be moved to the front for each of them.
+    buffer.erase(0, buffer.size() - bytes.size());
     return status;
 }
 
-BodyParseStatus BodyReader::consumeBytes(std::string &buffer)
+BodyParseStatus BodyReader::consumeBytes(std::string_view &bytes)
 {
-    const auto count
-        = static_cast<std::size_t>(std::min<std::uint64_t>(m_bytesLeft, buffer.size()));
+    const auto count = static_cast<std::size_t>(std::min<std::uint64_t>(m_bytesLeft, bytes.size()));
     if (m_body.size() + count > m_maxBytes)
         return BodyParseStatus::TooLarge;
-    m_body.append(buffer, 0, count);
-    buffer.erase(0, count);
+    m_body.append(bytes.data(), count);
+    bytes.remove_prefix(count);
     m_bytesLeft -= count;
     return m_bytesLeft == 0 ? BodyParseStatus::Complete : BodyParseStatus::NeedMore;
 }
 
 /** @return NeedMore or Malformed when no line was read; nothing when @p line holds the line. */
-std::optional<BodyParseStatus> BodyReader::consumeLine(std::string &buffer, std::string &line)
+std::optional<BodyParseStatus> BodyReader::consumeLine(std::string_view &bytes,
+                                                       std::string_view &line)
 {
-    const std::size_t end = buffer.find('\n');
-    if (end == std::string::npos)
-        return buffer.size() > MAX_LINE_BYTES ? BodyParseStatus::Malformed
-                                              : BodyParseStatus::NeedMore;
-    if (end == 0 || end > MAX_LINE_BYTES || buffer[end - 1] != '\r')
+    const std::size_t end = bytes.find('\n');
+    if (end == std::string_view::npos)
+        return bytes.size() > MAX_LINE_BYTES ? BodyParseStatus::Malformed
+                                             : BodyParseStatus::NeedMore;
+    if (end == 0 || end > MAX_LINE_BYTES || bytes[end - 1] != '\r')
         return BodyParseStatus::Malformed;
-    line = buffer.substr(0, end - 1);
-    buffer.erase(0, end + 1);
+    line = bytes.substr(0, end - 1);
+    bytes.remove_prefix(end + 1);
     return std::nullopt;
 }
 
 /** Reads one part of a chunk: the size line, the data, or the CRLF after the data. */
-BodyParseStatus BodyReader::consumeChunk(std::string &buffer)
+BodyParseStatus BodyReader::consumeChunk(std::string_view &bytes)
 {
     if (m_inChunk) {
-        const BodyParseStatus status = consumeBytes(buffer);
+        const BodyParseStatus status = consumeBytes(bytes);
         if (status == BodyParseStatus::Complete) {
             m_inChunk = false;
             m_afterChunk = true;
         }
         return status;
     }
-    std::string line;
-    if (const auto status = consumeLine(buffer, line))
+    std::string_view line;
+    if (const auto status = consumeLine(bytes, line))
         return *status;
     if (m_afterChunk) {
         // UINT64_MAX marks the last chunk.
--- a/src/http/body_reader.h
+++ b/src/http/body_reader.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cornelwell {
 
@@ -52,9 +53,9 @@
         UntilClose,
     };
 
-    BodyParseStatus consumeBytes(std::string &buffer);
-    BodyParseStatus consumeChunk(std::string &buffer);
-    std::optional<BodyParseStatus> consumeLine(std::string &buffer, std::string &line);
+    BodyParseStatus consumeBytes(std::string_view &bytes);
+    BodyParseStatus consumeChunk(std::string_view &bytes);
+    std::optional<BodyParseStatus> consumeLine(std::string_view &bytes, std::string_view &line);
 
     Framing m_framing = Framing::FixedLength;
     std::uint64_t m_bytesLeft = 0; ///< Bytes left of the body, or of the current chunk.
