--- a/tests/broken_answer_path_test.cpp
+++ b/tests/broken_answer_path_test.cpp
@@ -39,6 +39,18 @@
         return ask();
     }
 
+    /** Sends an upload that the server answers early and without a length. @return the status that
+     * the caller gets. */
+    int statusOfUpload(ServerEnding ending)
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nCornelwell-Try-Id: " + nextRequestId()
+                                 + "\r\nCornelwell-Server-Seal: s\r\n\r\n";
+        m_server->script = {{head + "part"}, "", ending, 100};
+        const int status = ask(std::string(12 * 1024 * 1024, 'x'));
+        m_server->script = {};
+        return status;
+    }
+
     /** @return the fields of a sound answer to the next request, and the empty line. */
     std::string soundFields() const
     {
@@ -52,6 +64,18 @@
 
 } // namespace
 
+// Guards against the incident: callers got the part as a complete 200.
+TEST_CASE("callers get no part of an answer to an upload that breaks off", "[node]")
+{
+    TroubledSite site;
+    for (const ServerEnding ending :
+         {ServerEnding::Reset, ServerEnding::Close, ServerEnding::HalfClose}) {
+        INFO("ending " << static_cast<int>(ending));
+        CHECK(site.statusOfUpload(ending) == BAD_GATEWAY);
+        CHECK(site.statusFor("HTTP/1.1 200 OK\r\n") == 200);
+    }
+}
+
 TEST_CASE("callers get no answer with a status that is none of HTTP", "[node]")
 {
     TroubledSite site;
