Feature: logs and metrics tell whether a daemon can use the store's answers

Calls of the fleet and of roll-outs were neither logged nor counted, so an unreachable store, cut answers and answers that the daemon cannot read looked alike.

Ruled out: a line for each failed call, which an outage repeats up to ten times a second; a check by a timer, which would take a daemon that makes no calls for one that fails.

--- a/src/node/departure_recorder.cpp
+++ b/src/node/departure_recorder.cpp
@@ -20,13 +20,14 @@
 
 DepartureRecorder::DepartureRecorder(EventLoop &loop, const PlatformAdapter &adapter,
                                      ServerId daemon, Endpoint store, DecisionLog &log,
-                                     Metrics &metrics, DepartureRecorderListener &listener,
-                                     std::uint64_t seed)
+                                     Metrics &metrics, StoreCallMonitor &storeCalls,
+                                     DepartureRecorderListener &listener, std::uint64_t seed)
     : m_loop(loop)
     , m_adapter(adapter)
     , m_daemon(std::move(daemon))
     , m_log(log)
     , m_metrics(metrics)
+    , m_storeCalls(storeCalls)
     , m_listener(listener)
     , m_registry(DepartureOptions(), seed)
     , m_client(loop, std::move(store))
@@ -121,6 +122,7 @@
                           = response ? m_adapter.parseDeparturesRead(response.value(), m_daemon)
                                      : Result<StoredDepartures>(
                                          boost::outcome_v2::failure(response.error()));
+                      m_storeCalls.record(StoreCallGroup::DepartureCalls, read, m_loop.now());
                       const auto next = m_registry.handleReadAnswer(read, m_loop.now());
                       if (read)
                           handleStored(read.value());
@@ -138,6 +140,7 @@
                           = response ? m_adapter.parseDeparturesWrite(response.value(), m_daemon)
                                      : Result<DepartureWriteAnswer>(
                                          boost::outcome_v2::failure(response.error()));
+                      m_storeCalls.record(StoreCallGroup::DepartureCalls, answer, m_loop.now());
                       const auto next = m_registry.handleWriteAnswer(answer, m_loop.now());
                       if (answer)
                           handleStored(answer.value().stored);
--- a/src/node/departure_recorder.h
+++ b/src/node/departure_recorder.h
@@ -6,6 +6,7 @@
 #include "log/decision_log.h"
 #include "metrics/metrics.h"
 #include "node/platform_adapter.h"
+#include "node/store_call_monitor.h"
 #include "node/store_client.h"
 
 #include <functional>
@@ -39,12 +40,14 @@
      * @param daemon Name of this daemon.
      * @param store Address of the store.
      * @param log Log of state changes. @param metrics Counters.
+     * @param storeCalls Records the results of the calls.
      * @param listener Receives the events. All of these outlive the recorder.
      * @param seed Seed of the delays of retries.
      */
     DepartureRecorder(EventLoop &loop, const PlatformAdapter &adapter, ServerId daemon,
                       Endpoint store, DecisionLog &log, Metrics &metrics,
-                      DepartureRecorderListener &listener, std::uint64_t seed);
+                      StoreCallMonitor &storeCalls, DepartureRecorderListener &listener,
+                      std::uint64_t seed);
     ~DepartureRecorder();
 
     /** Starts: the record is read unless the answer to the announcement has it before. */
@@ -95,6 +98,7 @@
     const ServerId m_daemon;
     DecisionLog &m_log;
     Metrics &m_metrics;
+    StoreCallMonitor &m_storeCalls;
     DepartureRecorderListener &m_listener;
     DepartureRegistry m_registry;
     std::list<Waiter> m_waiters;
--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -89,6 +89,7 @@
     , m_settingsFile(std::move(settingsPath))
     , m_log(loop.clock(), DecisionLogOptions())
     , m_serverNotices(m_log, m_metrics)
+    , m_storeCalls(m_log, m_metrics)
     , m_peers(m_settings.self, PeerOptions())
     , m_budget(m_settings.retryBudget)
     , m_quarantine(quarantineOptions())
@@ -112,8 +113,8 @@
     , m_quotas(m_settings.self, loop.now())
     , m_storeClient(loop, m_settings.store)
     , m_watchClient(loop, m_settings.store)
-    , m_departures(loop, adapter, m_settings.self.name, m_settings.store, m_log, m_metrics, *this,
-                   seedOf(m_settings) + 4)
+    , m_departures(loop, adapter, m_settings.self.name, m_settings.store, m_log, m_metrics,
+                   m_storeCalls, *this, seedOf(m_settings) + 4)
 {
     m_log.setIdentity(m_settings.self.name.text(), m_settings.self.dataCentre.text());
     if (m_settings.rollouts)
@@ -224,6 +225,7 @@
 {
     m_metrics.set("event_loop_lag_ms_max", "", static_cast<double>(m_loopLag.takeLargest().ms));
     m_metrics.set("store_age_ms", "", static_cast<double>(m_replicator.storeAge(m_loop.now()).ms));
+    m_storeCalls.setGauges(m_loop.now());
 }
 
 /** Logs when what arrives waits long to be read, and when that is over. */
--- a/src/node/proxy_node.h
+++ b/src/node/proxy_node.h
@@ -25,6 +25,7 @@
 #include "node/server_notice_log.h"
 #include "node/settings_change.h"
 #include "node/shutdown_schedule.h"
+#include "node/store_call_monitor.h"
 #include "node/store_client.h"
 #include "replication/confirmation_renewal.h"
 #include "replication/route_replicator.h"
@@ -182,8 +183,11 @@
 
     // Versions of the routes and discovery of daemons.
     template<typename T>
-    Result<T> parseStoreAnswer(const Result<HttpResponse> &response,
+    Result<T> parseStoreAnswer(const Result<HttpResponse> &response, StoreCallGroup group,
                                Result<T> (PlatformAdapter::*parse)(const HttpResponse &) const);
+    template<typename T>
+    Result<T> parseNewestAnswer(const Result<HttpResponse> &response,
+                                Result<T> (PlatformAdapter::*parse)(const HttpResponse &) const);
     void logFaults(const std::vector<Error> &faults, const char *source);
     bool observeStoreEra(std::uint64_t era, const std::string &source);
     void perform(const ReplicationActions &actions);
@@ -254,6 +258,7 @@
     DecisionLog m_log;
     Metrics m_metrics;
     ServerNoticeLog m_serverNotices;
+    StoreCallMonitor m_storeCalls;
     PeerTable m_peers;
     ServiceRetryBudget m_budget;
     Quarantine m_quarantine;
@@ -297,11 +302,22 @@
     TimePoint m_lastRequestAt{0};
 };
 
-/** Parses an answer of the store; one of an earlier era is an error, since it may be outdated. */
+/** Parses an answer of the store and records whether it can be used. */
 template<typename T>
-Result<T> ProxyNode::parseStoreAnswer(const Result<HttpResponse> &response,
+Result<T> ProxyNode::parseStoreAnswer(const Result<HttpResponse> &response, StoreCallGroup group,
                                       Result<T> (PlatformAdapter::*parse)(const HttpResponse &)
                                           const)
+{
+    Result<T> answer = parseNewestAnswer(response, parse);
+    m_storeCalls.record(group, answer, m_loop.now());
+    return answer;
+}
+
+/** Parses an answer of the store; one of an earlier era is an error, since it may be outdated. */
+template<typename T>
+Result<T> ProxyNode::parseNewestAnswer(const Result<HttpResponse> &response,
+                                       Result<T> (PlatformAdapter::*parse)(const HttpResponse &)
+                                           const)
 {
     if (!response)
         return boost::outcome_v2::failure(response.error());
--- a/src/node/proxy_node_rollouts.cpp
+++ b/src/node/proxy_node_rollouts.cpp
@@ -142,8 +142,9 @@
     const TimePoint sentAt = m_loop.now();
     m_rollouts->watchClient.call(m_adapter.listRolloutsRequest(action.after), LIST_TIMEOUT,
                                  [this, sentAt](const Result<HttpResponse> &response) {
-                                     const auto read = parseStoreAnswer(
-                                         response, &PlatformAdapter::parseRolloutList);
+                                     const auto read
+                                         = parseStoreAnswer(response, StoreCallGroup::RolloutCalls,
+                                                            &PlatformAdapter::parseRolloutList);
                                      if (read)
                                          logFaults(read.value().faults, "rollouts");
                                      m_rollouts->watch.handleList(read, sentAt, m_loop.now());
@@ -157,7 +158,8 @@
     m_rollouts->watchClient.call(
         m_adapter.watchRolloutsRequest(action.storeRevision, action.wait),
         action.wait + WATCH_TIMEOUT_MARGIN, [this, sentAt](const Result<HttpResponse> &response) {
-            const auto read = parseStoreAnswer(response, &PlatformAdapter::parseRolloutWatch);
+            const auto read = parseStoreAnswer(response, StoreCallGroup::RolloutCalls,
+                                               &PlatformAdapter::parseRolloutWatch);
             if (read)
                 logFaults(read.value().faults, "rollouts");
             m_rollouts->watch.handleWatch(read, sentAt, m_loop.now());
@@ -170,7 +172,8 @@
     m_storeClient.call(
         m_adapter.writeRolloutRequest(action.order), WRITE_TIMEOUT,
         [this, order = action.order](const Result<HttpResponse> &response) {
-            const auto answer = parseStoreAnswer(response, &PlatformAdapter::parseRolloutWrite);
+            const auto answer = parseStoreAnswer(response, StoreCallGroup::RolloutCalls,
+                                                 &PlatformAdapter::parseRolloutWrite);
             m_log.logStateChange("rollout_written", [&](LogFields &fields) {
                 fields.add("service", order.service.text());
                 fields.add("phase", rolloutPhaseName(order.phase));
--- a/src/node/proxy_node_store.cpp
+++ b/src/node/proxy_node_store.cpp
@@ -71,7 +71,8 @@
     m_watchClient.call(m_adapter.readRoutesRequest(action.allowStale), ROUTES_READ_TIMEOUT,
                        [this](const Result<HttpResponse> &response) {
                            const Result<StoredRoutes> read
-                               = parseStoreAnswer(response, &PlatformAdapter::parseRoutesRead);
+                               = parseStoreAnswer(response, StoreCallGroup::RouteCalls,
+                                                  &PlatformAdapter::parseRoutesRead);
                            const auto actions = m_replicator.handleReadAnswer(read, m_loop.now());
                            if (read)
                                logFaults(read.value().faults, "routes");
@@ -92,7 +93,8 @@
     m_watchClient.call(m_adapter.watchRoutesRequest(action.storeRevision, timeout),
                        timeout + action.answerMargin, [this](const Result<HttpResponse> &response) {
                            const Result<StoredRoutes> read
-                               = parseStoreAnswer(response, &PlatformAdapter::parseRoutesWatch);
+                               = parseStoreAnswer(response, StoreCallGroup::RouteCalls,
+                                                  &PlatformAdapter::parseRoutesWatch);
                            const auto actions = m_replicator.handleWatchAnswer(read, m_loop.now());
                            if (read)
                                logFaults(read.value().faults, "routes");
@@ -185,8 +187,9 @@
 {
     m_storeClient.call(m_adapter.announceRequest(m_settings.self, action.revision), STORE_TIMEOUT,
                        [this](const Result<HttpResponse> &response) {
-                           const Result<AnnounceAnswer> read = parseStoreAnswer(
-                               response, &PlatformAdapter::parseAnnounceResponse);
+                           const Result<AnnounceAnswer> read
+                               = parseStoreAnswer(response, StoreCallGroup::FleetCalls,
+                                                  &PlatformAdapter::parseAnnounceResponse);
                            if (const auto departures = read ? m_adapter.parseAnnouncedDepartures(
                                                            response.value(), m_settings.self.name)
                                                             : std::nullopt)
@@ -200,7 +203,8 @@
     m_storeClient.call(m_adapter.listDaemonsRequest(action.after), STORE_TIMEOUT,
                        [this](const Result<HttpResponse> &response) {
                            const Result<DaemonPage> read
-                               = parseStoreAnswer(response, &PlatformAdapter::parseDaemonList);
+                               = parseStoreAnswer(response, StoreCallGroup::FleetCalls,
+                                                  &PlatformAdapter::parseDaemonList);
                            if (read)
                                logFaults(read.value().faults, "daemons");
                            m_quotas.fleetListed
