--- a/src/node/tests/broken_answers_test.cpp
+++ b/src/node/tests/broken_answers_test.cpp
@@ -1,8 +1,7 @@
 /** @file broken_answers_test.cpp Answers of servers and of the store that are cut or malformed. */
 #include "exchange/message_func.h"
 #include "node/server_connection_pool.h"
-#include "node/store_client.h"
-#include "scripted_server.h"
+#include "store_fixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -35,20 +34,6 @@
     return request;
 }
 
-/** Runs the loop until the condition holds, at most 20 s. */
-void runUntil(EventLoop &loop, const std::function<bool()> &done)
-{
-    int checksLeft = 4000;
-    std::function<void()> check = [&] {
-        if (done() || --checksLeft == 0)
-            loop.stop();
-        else
-            loop.after({5}, check);
-    };
-    check();
-    loop.run();
-}
-
 /** A pool of connections to a server that follows a script. */
 struct PoolFixture
 {
@@ -70,25 +55,6 @@
         loop, FIELDS, [this](HostCallId id, const ServerResult &result) { results[id] = result; }};
 };
 
-/** A client of a store that follows a script. */
-struct StoreFixture
-{
-    /** @return the response, or the error of the call. */
-    Result<HttpResponse> call(HttpRequest request)
-    {
-        std::optional<Result<HttpResponse>> result;
-        client.call(std::move(request), seconds(20),
-                    [&](const Result<HttpResponse> &response) { result = response; });
-        runUntil(loop, [&] { return result.has_value(); });
-        REQUIRE(result.has_value());
-        return *result;
-    }
-
-    EventLoop loop;
-    ScriptedServer server{loop};
-    StoreClient client{loop, server.endpoint()};
-};
-
 } // namespace
 
 // Guards against a server that answers an upload early and breaks off: callers got the part that
@@ -204,25 +170,6 @@
     }
 }
 
-// Guards against bytes of an answer that broke off: they stood before the next answer, on another
-// connection, and each later call of the store failed.
-TEST_CASE("a store's answer that breaks off leaves nothing for the next connection", "[node]")
-{
-    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
-    for (std::size_t cut = 1; cut < answer.size(); cut++) {
-        for (const ServerEnding ending : {ServerEnding::Reset, ServerEnding::Close}) {
-            INFO("cut at " << cut << ", ending " << static_cast<int>(ending));
-            StoreFixture store;
-            store.server.script = {{answer.substr(0, cut)}, "", ending};
-            CHECK_FALSE(store.call(HttpRequest()));
-            store.server.script = {{answer}, "", ServerEnding::Wait};
-            const Result<HttpResponse> next = store.call(HttpRequest());
-            REQUIRE(next);
-            CHECK(next.value().body == "body");
-        }
-    }
-}
-
 TEST_CASE("a store's refusal that ends with the connection is a refusal", "[node]")
 {
     for (const char *status : {"429", "503"}) {
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -62,7 +62,8 @@
 /** @return false when the connection has ended. */
 bool ScriptedServer::serve(Client &client)
 {
-    const bool isOpen = readRequest(client) && (!hasRequest(client) || sendNext(client));
+    const bool isOpen
+        = readRequest(client) && (!hasRequest(client) || client.hasEnded || sendNext(client));
     if (!isOpen)
         ::close(client.socket);
     return isOpen;
@@ -75,6 +76,7 @@
         Client client;
         client.socket = accepted;
         m_clients.push_back(client);
+        m_connections++;
     }
 }
 
@@ -116,8 +118,8 @@
             return false;
         m_bytesSent += count > 0 ? static_cast<std::uint64_t>(count) : 0;
     }
-    if (partsLeft)
-        client.partsSent++;
+    if (partsLeft && client.partsSent++ == 0)
+        m_requests++;
     const bool isAllSent = client.partsSent == script.parts.size() && script.repeated.empty();
     return !isAllSent || beginEnding(client);
 }
@@ -131,9 +133,12 @@
         client.partsSent = 0;
         return true;
     case ServerEnding::HalfClose:
-        if (!client.halfClosed)
+        if (!client.hasEnded)
             ::shutdown(client.socket, SHUT_WR);
-        client.halfClosed = true;
+        client.hasEnded = true;
+        return true;
+    case ServerEnding::HalfOpen:
+        client.hasEnded = true;
         return true;
     case ServerEnding::Reset: {
         const linger discard{1, 0};
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -18,6 +18,7 @@
     Close,     ///< It closes; unread bytes make the system send a reset.
     HalfClose, ///< It ends its own direction and leaves the rest of the request unread.
     Reset,     ///< It resets the connection.
+    HalfOpen,  ///< It sends nothing more, whatever it gets.
 };
 
 /** What the server does on each of its connections. A server that waits at the end follows the
@@ -44,6 +45,10 @@
 
     /** @return the address that it listens on. */
     const Endpoint &endpoint() const { return m_endpoint; }
+    /** @return number of connections accepted so far. */
+    unsigned connections() const { return m_connections; }
+    /** @return number of requests that it has begun to answer. */
+    unsigned requests() const { return m_requests; }
     /** @return bytes sent so far on all connections. */
     std::uint64_t bytesSent() const { return m_bytesSent; }
 
@@ -56,7 +61,7 @@
         int socket = -1;
         std::string request; ///< Received bytes of the request in progress.
         std::size_t partsSent = 0;
-        bool halfClosed = false;
+        bool hasEnded = false; ///< All is sent, and the connection stays open.
     };
 
     void takeTurn();
@@ -72,6 +77,8 @@
     int m_listener = -1;
     Endpoint m_endpoint;
     std::vector<Client> m_clients;
+    unsigned m_connections = 0;
+    unsigned m_requests = 0;
     std::uint64_t m_bytesSent = 0;
 };
 
--- a/tests/vm_site.cpp
+++ b/tests/vm_site.cpp
@@ -14,6 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr Duration DAEMON_INTERVAL{1}; ///< Between two turns of the daemon's loop.
+constexpr Duration WATCH_WAIT{500};    ///< Longest time that the store lets a watch wait.
 constexpr const char *SERVER_IP = "127.0.0.2";
 constexpr const char *DAEMONS_PATH = "/api/objects/cornelwell-daemons";
 constexpr int CALLS = 1; ///< Offsets of the ports.
@@ -22,6 +23,7 @@
 constexpr int STORE = 4;
 constexpr int SERVER = 5;
 constexpr int METRICS = 6;
+constexpr int STORE_RELAY = 7; ///< Where the daemon finds the store.
 const ObjectPlatform PLATFORM;
 
 HttpResponse jsonResponse(int status, const Json &body)
@@ -98,12 +100,15 @@
     pause({100});
 }
 
-VmSite::VmSite(std::uint16_t port) : m_port(port)
+VmSite::VmSite(std::uint16_t port) : m_port(port), m_configuration(routes())
 {
-    auto store = HttpService::listen(m_loop, at(STORE),
-                                     [this](const HttpRequest &r) { return this->store(r); });
+    auto store = HttpService::listenDeferring(
+        m_loop, at(STORE), [this](const HttpRequest &request, const HttpService::Reply &reply) {
+            handleStoreCall(request, reply);
+        });
     REQUIRE(store);
     m_store = std::move(store.value());
+    m_storeRelay = std::make_unique<FaultRelay>(m_loop, at(STORE_RELAY), at(STORE));
     auto server = HttpService::listen(m_loop, {SERVER_IP, at(SERVER).port},
                                       [this](const HttpRequest &r) { return serve(r); });
     REQUIRE(server);
@@ -144,7 +149,7 @@
             {{"listen-addrs",
               {{"outbound", local(CALLS)}, {"ready", local(READY)}, {"control", local(CONTROL)}}},
              {"internal-ports", {m_port, m_port}}}},
-           {"platform", {{"platform", {{"address", local(STORE)}}}}}};
+           {"platform", {{"platform", {{"address", local(STORE_RELAY)}}}}}};
     NodeSettings parsed = PLATFORM.settings(settings.dump()).value();
     parsed.self.incarnation = ++m_incarnation;
     parsed.listen.metrics = at(METRICS);
@@ -205,12 +210,12 @@
     return "t" + std::to_string(m_lastId + 1);
 }
 
-int VmSite::ask(std::string body)
+int VmSite::ask(std::string body, const std::string &path)
 {
     HttpRequest request;
     request.method = body.empty() ? "GET" : "POST";
     request.body = std::move(body);
-    request.path = "/near/x";
+    request.path = path;
     request.headers.add("Host", "h");
     request.headers.add("Cornelwell-Try-Id", nextRequestId());
     m_lastId++;
@@ -287,7 +292,45 @@
     return response;
 }
 
-/** Watches are refused, so that the daemon polls with reads. */
+void VmSite::configure(Json configuration)
+{
+    m_configuration = std::move(configuration);
+    m_configurationRevision = ++m_revision;
+    while (!m_watches.empty())
+        answerWatch(m_watches.begin()->first);
+}
+
+void VmSite::handleStoreCall(const HttpRequest &request, const HttpService::Reply &reply)
+{
+    const std::string key = "watch=";
+    const std::size_t place = request.path.find(key);
+    if (!holdsWatches || storeDown || place == std::string::npos) {
+        reply(store(request));
+        return;
+    }
+    const std::uint64_t watch = ++m_lastWatch;
+    m_watches.emplace(watch, reply);
+    if (m_configurationRevision > std::stoull(request.path.substr(place + key.size())))
+        answerWatch(watch);
+    else
+        m_loop.after(WATCH_WAIT, [this, watch] { answerWatch(watch); });
+}
+
+/** Answers a watch that waits with the configuration; one that knows it takes it for no news. */
+void VmSite::answerWatch(std::uint64_t watch)
+{
+    const auto found = m_watches.find(watch);
+    if (found == m_watches.end())
+        return;
+    const HttpService::Reply reply = std::move(found->second);
+    m_watches.erase(found);
+    const Json object = {{"meta", {{"name", "main"}, {"revision", m_configurationRevision}}},
+                         {"spec", m_configuration}};
+    reply(jsonResponse(200, {{"events", {{{"object", object}, {"deleted", false}}}},
+                             {"store-revision", m_revision}}));
+}
+
+/** Watches are refused here, so that the daemon polls with reads. */
 HttpResponse VmSite::store(const HttpRequest &request)
 {
     if (storeDown || request.path.find("watch=") != std::string::npos)
@@ -301,7 +344,8 @@
     }
     Json items = Json::array();
     if (request.path.find("/config") != std::string::npos)
-        items.push_back({{"meta", {{"name", "main"}, {"revision", 1}}}, {"spec", routes()}});
+        items.push_back({{"meta", {{"name", "main"}, {"revision", m_configurationRevision}}},
+                         {"spec", m_configuration}});
     else
         for (const auto &[name, object] : daemons)
             items.push_back(object);
--- a/tests/vm_site.h
+++ b/tests/vm_site.h
@@ -2,6 +2,8 @@
  * objects over restarts of the daemon. */
 #pragma once
 
+#include "fault_relay.h"
+
 #include "node/http_service.h"
 #include "node/proxy_node.h"
 
@@ -41,7 +43,7 @@
     /** Opens connections to the address for reports, on which nothing is ever sent. */
     void openSilentConnections(unsigned count);
     /** Sends a caller's request, a POST when it has a body. @return the status of the answer. */
-    int ask(std::string body = {});
+    int ask(std::string body = {}, const std::string &path = "/near/x");
     /** @return the identifier that the next request of ask gets. */
     std::string nextRequestId() const;
     /** Asks until the status comes. @return the last status. */
@@ -59,7 +61,15 @@
     /** @return the text of the daemon's metrics. */
     std::string metrics();
 
+    /** Replaces the configuration in the store, and answers the watches that wait for it. */
+    void configure(nlohmann::json configuration);
+    /** @return the configuration in the store. */
+    const nlohmann::json &configuration() const { return m_configuration; }
+    /** @return the relay between the daemon and the store. */
+    FaultRelay &storeRelay() { return *m_storeRelay; }
+
     bool storeDown = false;       ///< The store refuses all calls.
+    bool holdsWatches = false;    ///< The store lets watches wait; otherwise it refuses them.
     std::string instanceAtServer; ///< The identity that the server has; empty: any.
     unsigned served = 0;          ///< Requests that the server has run.
     std::map<std::string, nlohmann::json> daemons; ///< Objects of the kind of daemons.
@@ -75,6 +85,8 @@
     HttpResponse serve(const HttpRequest &request);
     HttpResponse store(const HttpRequest &request);
     HttpResponse writeDaemon(const HttpRequest &request);
+    void handleStoreCall(const HttpRequest &request, const HttpService::Reply &reply);
+    void answerWatch(std::uint64_t watch);
 
     const std::uint16_t m_port;
     EventLoop m_loop;
@@ -83,6 +95,11 @@
     std::unique_ptr<Daemon> m_daemon;
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_revision = 1;
+    nlohmann::json m_configuration;
+    std::uint64_t m_configurationRevision = 1;
+    std::map<std::uint64_t, HttpService::Reply> m_watches; ///< Those that wait, by number.
+    std::uint64_t m_lastWatch = 0;
+    std::unique_ptr<FaultRelay> m_storeRelay;
     unsigned m_lastId = 0;
     /** The client's end of connections on which nothing is sent. */
     class SilentConnection;
