Fix: a connection to the store outlives a change of the store's address

What operators would have seen: after a reload with another address a daemon with an open watch stayed at the earlier store for as long as that one answered. A call whose connection was being opened waited for its timeout.

Cause: setAddress() closed the connection only while no request was sent, and the next call used any open connection. While the connection was being opened it was closed and none opened in its place. The same address again closed idle connections.

Change: the client knows the address that its connection was opened to; a request is sent on a connection to the present address only, and names that address in Host.

Result: three tests in store_client_test.cpp fail before ("old" for "new", a call that ends with its timeout, two connections for one) and pass.

--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -26,15 +26,18 @@
 
 void StoreClient::setAddress(const Endpoint &address)
 {
+    if (m_address == address)
+        return;
     m_address = address;
-    if (!m_requestSent)
-        closeConnection();
+    if (m_requestSent)
+        return;
+    closeConnection();
+    if (!m_queue.empty() && m_timeoutTimer != 0)
+        openConnection();
 }
 
 void StoreClient::call(HttpRequest request, Duration timeout, Callback callback)
 {
-    if (!request.headers.has("Host"))
-        request.headers.add("Host", formatEndpoint(m_address));
     if (!request.body.empty())
         request.headers.add("Content-Type", "application/json");
     m_queue.push_back({std::move(request), timeout, std::move(callback)});
@@ -48,11 +51,17 @@
         return;
     startTimeout(m_queue.front().timeout);
     m_requestSent = false;
-    if (!m_connection || !m_connection->isOpen()) {
-        m_connection = TcpConnection::open(m_loop, m_address, CONNECT_TIMEOUT, *this, m_fromIp);
-        return;
-    }
-    connected();
+    if (m_connection && m_connection->isOpen() && m_connectedTo == m_address)
+        connected();
+    else
+        openConnection();
+}
+
+void StoreClient::openConnection()
+{
+    closeConnection();
+    m_connectedTo = m_address;
+    m_connection = TcpConnection::open(m_loop, m_address, CONNECT_TIMEOUT, *this, m_fromIp);
 }
 
 void StoreClient::startTimeout(Duration timeout)
@@ -80,9 +89,11 @@
         return;
     m_requestSent = true;
     m_requestsSent++;
-    const Call &call = m_queue.front();
-    m_reader.beginResponse(call.request.method);
-    m_connection->write(serializeRequest(call.request));
+    HttpRequest &request = m_queue.front().request;
+    if (!request.headers.has("Host"))
+        request.headers.add("Host", formatEndpoint(m_address));
+    m_reader.beginResponse(request.method);
+    m_connection->write(serializeRequest(request));
 }
 
 void StoreClient::received(std::string_view bytes)
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -27,7 +27,7 @@
     StoreClient(EventLoop &loop, Endpoint address, std::string fromIp = {});
     ~StoreClient() override;
 
-    /** Sets the address for calls that start later; a request that is sent is not interrupted. */
+    /** Sets the address for requests that are sent later; one that is sent is not interrupted. */
     void setAddress(const Endpoint &address);
     /**
      * Makes a call, after those in the queue.
@@ -54,6 +54,7 @@
     void received(std::string_view bytes) override;
     void disconnected(DisconnectReason reason) override;
     void startNextCall();
+    void openConnection();
     void startTimeout(Duration timeout);
     void completeWith(HttpResponse response);
     void completeCall(const Result<HttpResponse> &result);
@@ -63,6 +64,7 @@
     Endpoint m_address;
     const std::string m_fromIp;
     TcpConnectionPtr m_connection;
+    Endpoint m_connectedTo; ///< Address that m_connection was opened to.
     ResponseReader m_reader;
     std::deque<Call> m_queue;
     TimerId m_timeoutTimer = 0;
--- a/src/node/tests/store_client_test.cpp
+++ b/src/node/tests/store_client_test.cpp
@@ -12,6 +12,15 @@
 
 const std::string ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 
+/** A script that sends an answer byte by byte, one in each turn. */
+ServerScript slowly(const std::string &answer)
+{
+    ServerScript script;
+    for (const char c : answer)
+        script.parts.emplace_back(1, c);
+    return script;
+}
+
 std::string answerWith(const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -90,3 +99,60 @@
         CHECK(bodies[2] == "2");
     }
 }
+
+// Guards against a connection that outlives its address: after a change of the store's address a
+// daemon with an open watch went on to watch the earlier store.
+TEST_CASE("after a change of address the next call goes to the new store", "[node]")
+{
+    StoreFixture store;
+    ScriptedServer other(store.loop);
+    other.script = {{answerWith("new")}, "", ServerEnding::Wait};
+    SECTION("while a request is at the earlier one, which answers it")
+    {
+        store.server.script = slowly(answerWith("old"));
+        std::string body;
+        store.client.call(HttpRequest(), seconds(20), [&](const Result<HttpResponse> &response) {
+            body = response ? response.value().body : "failed";
+        });
+        runUntil(store.loop, [&] { return store.server.bytesSent() > 0; });
+        store.client.setAddress(other.endpoint());
+        runUntil(store.loop, [&] { return !body.empty(); });
+        CHECK(body == "old");
+    }
+    SECTION("between two calls")
+    {
+        store.server.script = {{answerWith("old")}, "", ServerEnding::Wait};
+        REQUIRE(store.call(HttpRequest()));
+        store.client.setAddress(other.endpoint());
+    }
+    store.server.script = {{answerWith("old")}, "", ServerEnding::Wait};
+    const Result<HttpResponse> next = store.call(HttpRequest());
+    REQUIRE(next);
+    CHECK(next.value().body == "new");
+}
+
+// Guards against a call that waits for its timeout because its connection was closed while it was
+// being opened.
+TEST_CASE("a change of address while the connection opens does not hold up the call", "[node]")
+{
+    StoreFixture store;
+    ScriptedServer other(store.loop);
+    other.script = {{answerWith("new")}, "", ServerEnding::Wait};
+    std::string body;
+    store.client.call(HttpRequest(), seconds(3), [&](const Result<HttpResponse> &response) {
+        body = response ? response.value().body : "failed";
+    });
+    store.client.setAddress(other.endpoint());
+    runUntil(store.loop, [&] { return !body.empty(); });
+    CHECK(body == "new");
+}
+
+TEST_CASE("settings that name the same address close no connection", "[node]")
+{
+    StoreFixture store;
+    store.server.script = {{ANSWER}, "", ServerEnding::Wait};
+    REQUIRE(store.call(HttpRequest()));
+    store.client.setAddress(store.server.endpoint());
+    REQUIRE(store.call(HttpRequest()));
+    CHECK(store.server.connections() == 1);
+}
