Fix: a list of the store that cannot be continued counts as whole

What operators would have seen: with an object of another writer last on a page of roll-outs, whose name cannot be read, the orders on later pages were dropped. A page that ended where it began was read again without a pause. A page that the store refused was asked for for good, so that earlier pages were never read again.

Cause: a list without a next start counted as ended, though the store said that more follows; a failed page kept its place whatever the error.

Change: a list that cannot be continued is a failed call: it begins anew after the usual pause, and removes nothing. After a lost answer the list of daemons goes on from its place, as before.

--- a/src/fleet/peer_discovery.cpp
+++ b/src/fleet/peer_discovery.cpp
@@ -5,6 +5,17 @@
 
 namespace cornelwell {
 
+namespace {
+
+/** @return true when the same call may succeed the next time. */
+bool isTransient(ResultCode code)
+{
+    return code == ResultCode::PlatformNotExecuted || code == ResultCode::PlatformUnknown
+           || code == ResultCode::PlatformThrottled;
+}
+
+} // namespace
+
 DiscoveryActions PeerDiscovery::start()
 {
     return nextCall();
@@ -62,14 +73,24 @@
 DiscoveryActions PeerDiscovery::handleListAnswer(const Result<DaemonPage> &answer, TimePoint now)
 {
     if (!answer) {
+        // A page that cannot be read must not keep this daemon from the changes on earlier ones.
+        if (!isTransient(answer.error().code))
+            m_after.clear();
         scheduleRetry(now);
         return {};
     }
-    m_retryDelay = {0};
-    for (const StoredDaemon &daemon : answer.value().daemons)
+    const DaemonPage &page = answer.value();
+    for (const StoredDaemon &daemon : page.daemons)
         m_table.addOrUpdate(daemon.record, false);
-    if (answer.value().more && !answer.value().last.empty()) {
-        m_after = answer.value().last;
+    if (page.more && (page.last.empty() || page.last == m_after)) {
+        // The list cannot be continued, and is not whole.
+        m_after.clear();
+        scheduleRetry(now);
+        return {};
+    }
+    m_retryDelay = {0};
+    if (page.more) {
+        m_after = page.last;
         return nextCall();
     }
     m_callPending = false;
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -111,6 +111,58 @@
     CHECK_FALSE(discovery.tick(now + seconds(30)).empty());
 }
 
+// Guards against a list that is left half read for good: it went on from the same place, without a
+// pause or for ever.
+TEST_CASE("a list that cannot be continued begins anew after a delay", "[fleet]")
+{
+    PeerTable table(record("me"), PeerOptions());
+    PeerDiscovery discovery(table, DiscoveryOptions(), 1);
+    discovery.start();
+    discovery.handleAnnounceAnswer(written(), NOW);
+    DaemonPage page;
+    page.daemons = {{record("a"), 1}};
+    page.more = true;
+    page.last = "a";
+    CHECK(std::get<ListDaemons>(discovery.handleListAnswer(page, NOW).at(0)).after == "a");
+    Result<DaemonPage> second = page;
+    SECTION("the next page ends where it began")
+    {
+        page.daemons.clear();
+        second = page;
+    }
+    SECTION("no name on the next page can be read")
+    {
+        page.last.clear();
+        second = page;
+    }
+    SECTION("the store refuses the next page")
+    {
+        second = fail(ResultCode::PlatformRefused, "status 400");
+    }
+    SECTION("the next page is malformed")
+    {
+        second = fail(ResultCode::PlatformProtocol, "no items");
+    }
+    CHECK(discovery.handleListAnswer(second, NOW).empty());
+    CHECK(discovery.tick(NOW).empty());
+    CHECK(std::get<ListDaemons>(discovery.tick(NOW + seconds(1)).at(0)).after.empty());
+}
+
+TEST_CASE("a list whose page is lost goes on from its place", "[fleet]")
+{
+    PeerTable table(record("me"), PeerOptions());
+    PeerDiscovery discovery(table, DiscoveryOptions(), 1);
+    discovery.start();
+    discovery.handleAnnounceAnswer(written(), NOW);
+    DaemonPage page;
+    page.more = true;
+    page.last = "a";
+    discovery.handleListAnswer(page, NOW);
+    const Result<DaemonPage> lost = fail(ResultCode::PlatformUnknown, "lost");
+    CHECK(discovery.handleListAnswer(lost, NOW).empty());
+    CHECK(std::get<ListDaemons>(discovery.tick(NOW + seconds(1)).at(0)).after == "a");
+}
+
 TEST_CASE("when the store came back older, the announcement is written and the others listed again",
           "[fleet]")
 {
--- a/src/rollout/rollout_watch.cpp
+++ b/src/rollout/rollout_watch.cpp
@@ -65,19 +65,25 @@
         handleFailure(answer.error().code, now);
         return;
     }
+    const StoredRollouts &page = answer.value();
+    if (page.more && (page.last.empty() || page.last == m_after)) {
+        // The list cannot be continued; taken for whole it would remove the orders that follow.
+        handleFailure(ResultCode::PlatformProtocol, now);
+        return;
+    }
     m_retryDelay = {0};
     if (m_after.empty()) {
         m_listed.clear();
         m_listSentAt = sentAt;
-        m_storeRevision = answer.value().storeRevision;
+        m_storeRevision = page.storeRevision;
         if (m_restored)
             return;
     }
-    for (const StoredRollout &object : answer.value().objects) {
+    for (const StoredRollout &object : page.objects) {
         m_listed.insert(object.name);
         apply(object);
     }
-    m_after = answer.value().more ? answer.value().last : std::string();
+    m_after = page.more ? page.last : std::string();
     if (!m_after.empty())
         return;
     for (auto order = m_orders.begin(); order != m_orders.end();)
