--- a/tests/store_pages_test.cpp
+++ b/tests/store_pages_test.cpp
@@ -49,3 +49,30 @@
     CHECK(PLATFORM.writeRolloutRequest(order).path
           == "/api/objects/rollouts/" + encoded + "/status");
 }
+
+// Guards against an alarm at the first start of each daemon, whose object has no status yet.
+TEST_CASE("a status that nobody has written has no departures and no fault", "[adapter]")
+{
+    const ServerId daemon("vm");
+    for (const char *status : {"", R"(,"status":null)", R"(,"status":{})"}) {
+        INFO(status);
+        const auto read = PLATFORM.parseDeparturesRead(
+            answer(std::string(R"({"meta":{"name":"vm","revision":8},"spec":{"daemon":"vm"})")
+                   + status + "}"),
+            daemon);
+        REQUIRE(read);
+        CHECK(read.value().revision == 8);
+        CHECK(read.value().departures.empty());
+        CHECK(read.value().faults.empty());
+    }
+    for (const char *status : {"7", "[1]", R"({"other":1})", R"({"left":{}})"}) {
+        INFO(status);
+        const auto read = PLATFORM.parseDeparturesRead(
+            answer(std::string(
+                       R"({"meta":{"name":"vm","revision":8},"spec":{"daemon":"vm"},"status":)")
+                   + status + "}"),
+            daemon);
+        REQUIRE(read);
+        CHECK(read.value().faults.size() == 1);
+    }
+}
