Fix: the log does not say which daemon could not listen

What operators saw: ListenFailed with an empty process and data_centre, although the settings had been read.

Cause: the identity of the start log was set by `cornelwell daemon` only.

Change: runProxyNode() sets it as soon as the settings are read; the level stays.

Result: start_failure_test.cpp fails before and passes.

--- a/src/node/proxy_node.cpp
+++ b/src/node/proxy_node.cpp
@@ -4,6 +4,7 @@
 #include "base/hash_func.h"
 #include "base/json_func.h"
 #include "base/result_code_func.h"
+#include "log/log.h"
 
 #include <algorithm>
 #include <csignal>
@@ -319,6 +320,8 @@
 {
     BOOST_OUTCOME_TRY(text, readFile(settingsPath, ResultCode::SettingsUnreadable));
     BOOST_OUTCOME_TRY(settings, adapter.settings(text));
+    const std::string sameLevel;
+    startLog({settings.self.name.text(), settings.self.dataCentre.text()}, sameLevel);
     EventLoop loop;
     settings.self.incarnation = static_cast<std::uint64_t>(loop.clock().wallNow().ms);
     ProxyNode node(loop, adapter, std::move(settings), settingsPath);
