Codechange: tests of a status of 000 on each path that reads an answer

RawServer moves from http_test.cpp to tests/.

The seven tests of http_test.cpp that use RawServer are as before.

--- a/src/cli/tests/cli_test.cpp
+++ b/src/cli/tests/cli_test.cpp
@@ -1,6 +1,9 @@
 /** @file cli_test.cpp Exit codes of the command line. */
 #include "base/table/result_codes.h"
 #include "cli/cli.h"
+#include "raw_server.h"
+
+#include "base/endpoint_func.h"
 
 #include <catch2/catch.hpp>
 
@@ -55,6 +58,19 @@
     CHECK(Run({"settings", "check", "/nonexistent"}).code == EXIT_INVALID);
 }
 
+// Guards against a status of 000 that counts as an answer.
+TEST_CASE("an answer with a status of 000 is none for the command line", "[cli][threaded]")
+{
+    RawServer server([](int connection) {
+        if (readRequest(connection))
+            writeText(connection, "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\n{}");
+    });
+    const std::string address = formatEndpoint(server.endpoint);
+    CHECK(Run({"status", "--daemon", address, "--timeout", "2000"}).code == EXIT_UNREACHABLE);
+    CHECK(Run({"timeline", "--daemon", address}).code == EXIT_UNREACHABLE);
+    CHECK(Run({"entry", "list", "--platform", address}).code == EXIT_UNKNOWN);
+}
+
 TEST_CASE("an error says number, place, cause and what to do", "[cli]")
 {
     const Run run({"settings", "check", "/nonexistent"});
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -1,9 +1,8 @@
 /** @file http_test.cpp The HTTP client against servers that misbehave, and the server's bounds. */
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "raw_server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,63 +17,6 @@
 
 namespace {
 
-/** A raw server on a port that the kernel chose; each connection is handled by a function. */
-class RawServer
-{
-public:
-    explicit RawServer(std::function<void(int)> serve)
-    {
-        m_socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        REQUIRE(::bind(m_socket, reinterpret_cast<sockaddr *>(&address), size) == 0);
-        REQUIRE(::listen(m_socket, 16) == 0);
-        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
-        endpoint = {"127.0.0.1", ntohs(address.sin_port)};
-        m_thread = std::thread([this, serve = std::move(serve)] {
-            int connection = -1;
-            while ((connection = ::accept(m_socket, nullptr, nullptr)) >= 0) {
-                serve(connection);
-                ::close(connection);
-            }
-        });
-    }
-
-    ~RawServer()
-    {
-        ::shutdown(m_socket, SHUT_RDWR);
-        m_thread.join();
-        ::close(m_socket);
-    }
-
-    Endpoint endpoint;
-
-private:
-    int m_socket = -1;
-    std::thread m_thread;
-};
-
-/** Reads one whole request, whose body is "hello". */
-bool readRequest(int connection)
-{
-    std::string text;
-    char buffer[4096];
-    while (text.find("\r\n\r\nhello") == std::string::npos) {
-        const ssize_t count = ::recv(connection, buffer, sizeof buffer, 0);
-        if (count <= 0)
-            return false;
-        text.append(buffer, static_cast<std::size_t>(count));
-    }
-    return true;
-}
-
-void writeText(int connection, const std::string &text)
-{
-    (void)::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
-}
-
 HttpOutcome ask(HttpClient &client, const Endpoint &server, Duration timeout = seconds(5),
                 int callerSocket = -1)
 {
--- a/src/proxy/tests/call_path_test.cpp
+++ b/src/proxy/tests/call_path_test.cpp
@@ -4,6 +4,7 @@
 #include "manual_clock.h"
 #include "proxy/call_func.h"
 #include "proxy/call_handlers.h"
+#include "raw_server.h"
 #include "sample_entries.h"
 
 #include <sys/socket.h>
@@ -221,6 +222,41 @@
     CHECK(setup.backend.runs == 1);
 }
 
+// Guards against a status of 000 that is passed on, or after which a request runs twice.
+TEST_CASE("after an answer with a status of 000 a keyed request is unknown and never runs again",
+          "[proxy][threaded]")
+{
+    Setup setup(18211);
+    setup.backendServer.reset();
+    const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::atomic<int> requests{0};
+    std::atomic<bool> isSound{false};
+    RawServer server(
+        [&](int connection) {
+            if (!readRequest(connection))
+                return;
+            requests++;
+            writeText(connection, isSound
+                                      ? inner
+                                      : "HTTP/1.1 000 Odd\r\nContent-Length: "
+                                            + std::to_string(inner.size()) + "\r\n\r\n" + inner);
+        },
+        BACKEND_IP, 18211);
+    const HttpResponse response = setup.edge.call();
+    CHECK(outcome(response) == "unknown");
+    CHECK(response.status >= 500);
+    CHECK(response.body.find("ok") == std::string::npos);
+    CHECK(requests == 1);
+    // What may run again is tried elsewhere and gets no such answer either.
+    CHECK(outcome(setup.edge.call("", "b", "/look")) == "unknown");
+    isSound = true;
+    CHECK(setup.edge.call("", "b", "/look").body == "ok");
+    const int before = requests;
+    for (int i = 0; i < 5; i++)
+        CHECK(outcome(setup.edge.call()) == "unknown");
+    CHECK(requests == before);
+}
+
 TEST_CASE("when the claim's holder is gone a repeat is unknown, not a second run",
           "[proxy][threaded]")
 {
--- a/tests/broken_answer_path_test.cpp
+++ b/tests/broken_answer_path_test.cpp
@@ -58,6 +58,36 @@
                + "\r\nCornelwell-Server-Seal: s\r\nContent-Length: 2\r\n\r\n";
     }
 
+    /** Adds a route for requests that may not be repeated, and waits until it is in force. */
+    void addUnsafeRoute(const std::string &path)
+    {
+        nlohmann::json next = configuration();
+        nlohmann::json route = next["routes"][0];
+        route["name"] = "unsafe";
+        route["path-prefix"] = path;
+        route["kind"] = "non_idempotent";
+        route["max-attempts"] = 3;
+        next["version"] = "00000005";
+        next["routes"].push_back(route);
+        configure(next);
+        int status = 404;
+        for (int i = 0; i < 80 && status == 404; i++) {
+            pause({50});
+            status = statusOfUnsafe(path, "HTTP/1.1 200 OK\r\n");
+        }
+        REQUIRE(status == 200);
+    }
+
+    /** @return the status that the caller of an unsafe request gets. */
+    int statusOfUnsafe(const std::string &path, const std::string &statusAndFields)
+    {
+        m_server->script.parts = {statusAndFields + soundFields() + "ok"};
+        return ask("x", path + "x");
+    }
+
+    /** @return number of requests that have reached the server. */
+    unsigned requests() const { return m_server->requests(); }
+
 private:
     std::unique_ptr<ScriptedServer> m_server;
 };
@@ -91,6 +121,24 @@
     CHECK(site.statusFor("HTTP/1.1 200 OK\r\n") == 200);
 }
 
+// Guards against a second run of an unsafe request after a status of 000.
+TEST_CASE("an unsafe request with such an answer reaches its server once", "[node]")
+{
+    TroubledSite site;
+    site.addUnsafeRoute("/once/");
+    for (const char *status : {"000", "099", "600"}) {
+        INFO(status);
+        const unsigned before = site.requests();
+        const std::string line = std::string("HTTP/1.1 ") + status + " Odd\r\n";
+        CHECK(site.statusOfUnsafe("/once/", line) == BAD_GATEWAY);
+        // The field that says that a request has not run counts in a sound answer only.
+        CHECK(site.statusOfUnsafe("/once/", line + "Cornelwell-Not-Executed: 1\r\n")
+              == BAD_GATEWAY);
+        site.pause({300});
+        CHECK(site.requests() == before + 2);
+    }
+}
+
 TEST_CASE("callers get no answer in whose head a field is malformed", "[node]")
 {
     TroubledSite site;
--- a/tests/store_answer_fault_test.cpp
+++ b/tests/store_answer_fault_test.cpp
@@ -58,6 +58,12 @@
     }
 };
 
+/** @return the answer with another status. */
+std::string withStatus(const std::string &status, const std::string &answer)
+{
+    return answer.substr(0, 9) + status + answer.substr(12);
+}
+
 } // namespace
 
 // Guards against CONFIG: after a reset within the head of an answer of the store the daemon could
@@ -113,3 +119,39 @@
         site.pause({100});
     CHECK(site.hasMetric(listed));
 }
+
+// Guards against a status of 000 in an answer of the store.
+TEST_CASE("a status that is none of HTTP in an answer of the store is a failed call", "[node]")
+{
+    StoreFaultSite site;
+    const std::string status = GENERATE("000", "099", "600");
+    const auto change = [status](const std::string &answer) { return withStatus(status, answer); };
+    SECTION("reads of the routes")
+    {
+        site.inject(ROUTES_CALL, change, false);
+        site.removeRoutes();
+        CHECK(site.askUntil(NOT_FOUND) == NOT_FOUND);
+    }
+    SECTION("the list of daemons is read again")
+    {
+        const std::string listed = R"(store_calls_failing_ms{group="fleet"} 0)";
+        site.inject(DAEMONS_CALL, change, false);
+        site.pause({20});
+        CHECK(site.hasMetric(R"(store_calls_total{group="fleet",result="PlatformProtocol"} 1)"));
+        for (int i = 0; i < 40 && !site.hasMetric(listed); i++)
+            site.pause({100});
+        CHECK(site.hasMetric(listed));
+    }
+    SECTION("a departure is not taken for stored")
+    {
+        site.storeRelay().setFault({DEPARTURES_CALL, change, false});
+        // The first write has this answer; the acknowledgement waits for the next one.
+        CHECK(site.deregisterUntil(200, "i1") == 200);
+        CHECK_FALSE(site.storeRelay().isArmed());
+        site.killDaemon();
+        site.startDaemon();
+        CHECK(site.report("i1", 1000, 1) == 200);
+        site.pause({900});
+        CHECK(site.ask() == 503);
+    }
+}
