Fix: a status beyond 511 in the answer to a handshake is undefined behaviour

Callers saw nothing: the link failed as after each answer but 101. Cause: the library converts the number of the status line into an enumeration that ends at 511, and the links used its parser as it is. Ruled out: the HTTP clients of the product (own reader, 100 to 599, no enumeration); the accepting side (reads requests, no status); a status below 100 (within the enumeration). Change: UpgradeResponse takes an answer in only while it begins with "HTTP/1.1 101 "; the library sees no other status.

--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -3,6 +3,7 @@
 
 #include "base/endpoint_func.h"
 #include "base/result_code_func.h"
+#include "peer/upgrade_response.h"
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -40,6 +41,7 @@
 
 struct ClientConfig : ws::config::asio_client
 {
+    typedef UpgradeResponse response_type;
     // NOLINTNEXTLINE(readability-identifier-naming)
     struct transport_config : ws::config::asio_client::transport_config
     {
--- a/src/peer/tests/peer_transport_test.cpp
+++ b/src/peer/tests/peer_transport_test.cpp
@@ -26,7 +26,7 @@
 TEST_CASE("a handshake that is answered with a status that is none of HTTP opens no link",
           "[control][threaded]")
 {
-    for (const char *status : {"000", "099", "600"}) {
+    for (const char *status : {"000", "099", "426", "512", "600"}) {
         INFO(status);
         RawServer server([&](int connection) {
             if (readRequest(connection))
