Codechange: one answer of the store in the tests of its client

Cause: a test repeated the text of the answer that the file names once. Change: it uses that one; the checks are the same.

--- a/src/node/tests/store_client_test.cpp
+++ b/src/node/tests/store_client_test.cpp
@@ -32,14 +32,13 @@
 // connection, and each later call of the store failed.
 TEST_CASE("a store's answer that breaks off leaves nothing for the next connection", "[node]")
 {
-    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
-    for (std::size_t cut = 1; cut < answer.size(); cut++) {
+    for (std::size_t cut = 1; cut < ANSWER.size(); cut++) {
         for (const ServerEnding ending : {ServerEnding::Reset, ServerEnding::Close}) {
             INFO("cut at " << cut << ", ending " << static_cast<int>(ending));
             StoreFixture store;
-            store.server.script = {{answer.substr(0, cut)}, "", ending};
+            store.server.script = {{ANSWER.substr(0, cut)}, "", ending};
             CHECK_FALSE(store.call(HttpRequest()));
-            store.server.script = {{answer}, "", ServerEnding::Wait};
+            store.server.script = {{ANSWER}, "", ServerEnding::Wait};
             const Result<HttpResponse> next = store.call(HttpRequest());
             REQUIRE(next);
             CHECK(next.value().body == "body");
