Fix: a race in the test of the platform's answers that break off

Ruled out: the product; the race is between the test and its own server. Change: both are atomic; the checks are the same.

--- a/src/store/tests/http_object_store_test.cpp
+++ b/src/store/tests/http_object_store_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+
 using namespace cornelwell;
 
 namespace {
@@ -51,8 +53,9 @@
           "[store][threaded]")
 {
     const std::string answer = "HTTP/1.1 200 OK\r\nETag: \"3\"\r\nContent-Length: 4\r\n\r\nbody";
-    std::size_t cut = 0;
-    bool isSound = false;
+    // The server's thread reads both.
+    std::atomic<std::size_t> cut = 0;
+    std::atomic<bool> isSound = false;
     RawServer server([&](int connection) {
         while (readRequest(connection)) {
             writeText(connection, isSound ? answer : answer.substr(0, cut));
@@ -62,7 +65,7 @@
     });
     HttpObjectStore store(optionsFor(server), CLOCK);
     for (cut = 1; cut < answer.size(); cut++) {
-        INFO("cut at " << cut);
+        INFO("cut at " << cut.load());
         isSound = false;
         CHECK(store.read("a").error().code == ResultCode::PlatformUnknown);
         isSound = true;
