--- a/src/peer/upgrade_response.h
+++ b/src/peer/upgrade_response.h
@@ -19,10 +19,10 @@
 {
 public:
     /**
-     * Takes the next bytes of the answer; hides the function of the library, which the connection
-     * calls by the type of its configuration.
+     * Takes the next bytes of the answer. The base class's function is not virtual; the connection
+     * calls this one because its configuration names this class.
      * @return how many bytes were taken.
-     * @throws websocketpp::http::exception when the handshake isn't accepted.
+     * @throws websocketpp::http::exception when the handshake is not accepted.
      */
     std::size_t consume(const char *bytes, std::size_t length)
     {
