--- a/review/standins-3/bed.py
+++ b/review/standins-3/bed.py
@@ -17,6 +17,8 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PAGE_ITEMS = 500  # of a list of the store: "about 500 or 1 MB at most"
+PAGE_BYTES = 1_000_000
 REASONS = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected Request",
            500: "Internal Server Error", 503: "Service Unavailable"}
 
@@ -131,8 +133,13 @@
         message = json.loads(body) if body else {}
         if method == "GET" and name is None:
             names = sorted(item for item in objects if item > query.get("after", ""))
-            return 200, {"items": [objects[item] for item in names], "has-more": False,
-                         "store-revision": self.revision}
+            items, size = [], 0
+            for item in names:
+                size += len(json.dumps(objects[item]))
+                if len(items) == PAGE_ITEMS or (items and size > PAGE_BYTES):
+                    break
+                items.append(objects[item])
+            return 200, {"items": items, "has-more": len(items) < len(names), "store-revision": self.revision}
         if method == "POST":
             name = message["meta"]["name"]
             if name in objects:
