--- a/review/15/case.py
+++ b/review/finding-3-key/case.py
@@ -23,6 +23,7 @@
     reader, writer = await asyncio.open_connection(vm.ip, vm.ports["outbound"], limit=1 << 20)
     try:
         sent = time.monotonic()
+        bed.record.write(f"sent {request_id} to {vm.name}")
         writer.write(b.request_bytes("GET", f"/stock/{number}", HOST, request_id, 5000,
                                      more=[("Cornelwell-Credential", key)]))
         answer = await asyncio.wait_for(b.read_answer(reader), 6)
