--- a/review/11/case.py
+++ b/review/11/case.py
@@ -14,8 +14,8 @@
 ANSWER_BYTES = 30000  # the largest of lot-lookup at the site
 WORK_S = 0.16
 LIMIT_MS = 1200
-CONSUMERS = 16
-GAP_MAX_S = 0.4  # between the requests of one consumer, answered or not; evenly from 0
+CONSUMERS = 24
+GAP_MAX_S = 0.3  # between the requests of one consumer, answered or not; evenly from 0
 ONE_WAY_S = 0.008  # between consumers and machines at the site
 FLIGHT_BYTES = 14600  # ten segments, which a new connection has on its way at once
 GRACE_S = 6
@@ -171,7 +171,7 @@
 async def case(bed, trouble):
     # Two machines in the first one's zone, so that its consumers get no new work after two misses.
     first = bed.add_vm("sidecar-thies-nord-1", "order-desk", "thies-nord")
-    for number, zone in ((2, "thies-nord"), (3, "thies-centre")):
+    for number, zone in ((2, "thies-nord"), (3, "thies-centre"), (4, "thies-sud")):
         bed.add_vm(f"sidecar-{zone}-{number}", "order-desk", zone)
     for vm in bed.vms:
         server = b.Server(bed, vm, f"i-{vm.name}")
